--- /dev/null
+++ b/ironstage/drill.py
@@ -0,0 +1,78 @@
+"""`python -m ironstage.drill`: the decision module on the simulator's wire."""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from typing import BinaryIO
+
+from ironstage import interface as api
+from ironstage import wire
+from ironstage.logic import Gateway
+
+
+class Host:
+    """Isolated gateways, one for each instance; nothing passes between them."""
+
+    def __init__(self) -> None:
+        self._gateways: dict[int, Gateway] = {}
+
+    def reply(self, now: float, count: int, body: bytes) -> bytes:
+        records = wire.decode_batch(count, body)
+        groups: list[tuple[int, list[api.Action]]] = []
+        for instance, record in records:
+            if not groups or groups[-1][0] != instance:
+                groups.append((instance, []))
+            try:
+                groups[-1][1].extend(self._handle(instance, now, record))
+            except wire.WireError:
+                raise
+            except Exception as error:
+                traceback.print_exc()
+                cause = traceback.extract_tb(error.__traceback__)[-1]
+                where = f"{cause.filename.rsplit('/', 1)[-1]}:{cause.lineno}"
+                return wire.encode_fault(instance, f"{type(error).__name__}: {error} ({where})")
+        return wire.encode_reply(groups)
+
+    def _handle(self, instance: int, now: float, record: wire.Record) -> list[api.Action]:
+        if isinstance(record, wire.Spawn):
+            self._gateways[instance] = Gateway(record.settings, record.seed)
+            return []
+        if isinstance(record, wire.Teardown):
+            self._gateways.pop(instance, None)
+            return []
+        if instance not in self._gateways:
+            raise wire.WireError(f"event for instance {instance}, which has not been started")
+        return self._gateways[instance].handle(now, record)
+
+
+def read_frame(stream: BinaryIO) -> tuple[float, int, bytes] | None:
+    """Clock, record count and records of the next batch, or None at a clean end of input."""
+    head = stream.read(wire.BATCH_HEAD.size)
+    if not head:
+        return None
+    if len(head) < wire.BATCH_HEAD.size:
+        raise wire.WireError(f"input ends inside a header, after {len(head)} bytes")
+    size, now, count = wire.BATCH_HEAD.unpack(head)
+    body = stream.read(size)
+    if len(body) < size:
+        raise wire.WireError(f"input ends inside a frame, after {len(body)} of {size} bytes")
+    return now, count, body
+
+
+def main() -> int:
+    host, source, sink = Host(), sys.stdin.buffer, sys.stdout.buffer
+    number = 0
+    try:
+        while (frame := read_frame(source)) is not None:
+            sink.write(host.reply(*frame))
+            sink.flush()
+            number += 1
+    except wire.WireError as error:
+        print(f"ironstage.drill: frame {number}: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ironstage/interface.py
@@ -0,0 +1,300 @@
+"""The interface of the decision module: settings, events and actions.
+
+Times are milliseconds of the caller's clock. Nothing here depends on a wire
+format, and nothing here decides: `ironstage.logic` does.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    """What a repeat of a request does."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Scope(Enum):
+    """Which servers discard the repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Status(Enum):
+    """How an attempt, probe or counter call ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class ServerState(Enum):
+    """What discovery says of a server."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class ListKind(Enum):
+    """What a list event holds."""
+
+    DELTA = "delta"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests; `aim_stretch` lengthens the aim by the request's own work."""
+
+    aim_ms: float
+    deadline_ms: float
+    effect: Effect
+    scope: Scope
+    window_ms: float
+    late_worth: float
+    stream: bool = False
+    aim_stretch: float = 0.0
+    name: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A quota: a store of `burst` units refilled at `rate` a second, and caps beside it."""
+
+    rate: float
+    burst: float
+    parallel: int = 0
+    ceiling_rate: float = 0.0
+    ceiling_depth: float = 0.0
+    ceiling_slack: float = 0.0
+    over_worth: float = 0.0
+    over_cost: float = 0.0
+    name: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All that a gateway is told at its start."""
+
+    me: int
+    gateways: int
+    zone: int
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    cold_from: float
+    cold_ms: float
+    tip_multiple: float
+    fall_ms: float
+    drain_grace_ms: float
+    ask_within_ms: float
+    meter_ms: float
+    post_paid: bool
+    max_attempts: int
+    second_copies: bool
+    may_cancel: bool
+    may_probe: bool
+    advice_ms: float
+    must_subscribe: bool
+    report_fields: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """An entry of the server list."""
+
+    id: int
+    zone: int
+    cell: int
+    state: ServerState
+    rating: float
+    started_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    kind: ListKind
+    servers: tuple[Server, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A client's try: the gateway owes it one final answer by `deadline_ms`."""
+
+    request: int
+    cls: int
+    plan: int
+    customer: int
+    units: float
+    doors: int
+    deadline_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The end of an attempt; `usage` is None or the customer's metered use in percent."""
+
+    request: int
+    attempt: int
+    server: int
+    status: Status
+    elapsed_ms: float
+    closed: bool
+    usage: int | None = None
+    units: int = 0
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBegun:
+    request: int
+    attempt: int
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    server: int
+    status: Status
+    elapsed_ms: float
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    sender: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CounterTotal:
+    name: int
+    status: Status
+    total: float
+    elapsed_ms: float
+
+
+Event = (
+    ServerList
+    | Arrival
+    | Outcome
+    | StreamBegun
+    | Abandoned
+    | TimerFired
+    | ProbeResult
+    | PeerMessage
+    | CounterTotal
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    request: int
+    server: int
+    until_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: a retry is harmless, best after `retry_in_ms` (0: no advice)."""
+
+    request: int
+    retry_in_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer that promises nothing."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    delay_ms: float
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    on: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """A message to one peer, or to all when `to` is None."""
+
+    to: int | None
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CounterAdd:
+    name: int
+    amount: float
+    lives_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    text: str
+
+
+Action = (
+    Send
+    | Cancel
+    | Refuse
+    | Fail
+    | SetTimer
+    | Probe
+    | Subscribe
+    | FetchList
+    | CloseIdle
+    | Tell
+    | CounterAdd
+    | Log
+)
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,116 @@
+"""Let-in share, store estimate and the meter's clock."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from helpers import Rig, sends
+
+from ironstage import interface as api
+from ironstage.logic import Customer, MeterClock
+
+PLAN = api.Plan(rate=10, burst=20)
+
+
+def play(lag: float, seconds: int = 60, scale: float = 1.0) -> tuple[MeterClock, Customer]:
+    """A customer sent on by two gateways alike, and a meter that is `lag` ms late."""
+    rng = random.Random(3)
+    clock, customer = MeterClock(1000.0), Customer(PLAN, 2, 0.0)
+    both: list[float] = []
+    now, burst = 0.0, 1.0
+    while now < seconds * 1000.0:
+        now += rng.expovariate(1 / 40.0)
+        if rng.random() < 0.02:
+            burst = rng.choice([0.1, 0.3, 1.0])
+        if rng.random() > burst * scale:
+            continue
+        both.append(now)
+        if rng.random() < 0.5:
+            customer.draw(now, 1.0)
+            end = (now + 60.0 - lag) // 1000.0 * 1000.0
+            used = sum(1 for at in both if end - 1000.0 <= at < end)
+            customer.meter(now + 60.0, round(used / PLAN.rate * 100), clock)
+    return clock, customer
+
+
+@pytest.mark.parametrize("lag", [400.0, 900.0, 1500.0])
+def test_the_clock_finds_the_period_a_reading_speaks_of(lag: float) -> None:
+    clock, _ = play(lag)
+    _, end = clock.window(60000.0)
+    true_end = (60000.0 - lag) // 1000.0 * 1000.0
+    assert abs((end - true_end + 500) % 1000 - 500) < 200
+    assert abs(end - true_end) < 1200
+
+
+def test_our_part_is_learned() -> None:
+    _, customer = play(700.0)
+    assert 0.3 < customer.part() < 0.7
+
+
+def test_repeating_a_reading_does_not_wind_the_share_down() -> None:
+    clock, customer = MeterClock(1000.0), Customer(PLAN, 1, 0.0)
+    for step in range(12):
+        customer.meter(10.0 + step * 20, 200, clock)
+    assert customer.share(250.0) == pytest.approx(0.5, abs=0.05)
+
+
+def test_no_use_restores_the_share() -> None:
+    clock, customer = MeterClock(1000.0), Customer(PLAN, 1, 0.0)
+    customer.meter(10.0, 300, clock)
+    assert customer.share(20.0) < 0.5
+    for step in range(1, 9):
+        customer.meter(10.0 + 1000.0 * step, 0, clock)
+    assert customer.share(8020.0) == 1.0
+
+
+def test_old_readings_yield_to_the_guess() -> None:
+    """big-1 of cca-main-later: a reading a door heard a minute ago bound a rarely seen customer."""
+    clock, customer = MeterClock(1000.0), Customer(PLAN, 300, 0.0)
+    customer.meter(10.0, 500, clock)
+    assert customer.share(1000.0) < 0.4
+    assert customer.share(150000.0) > 0.9
+
+
+def test_behind_many_doors_repeated_tries_weigh_and_a_first_one_passes() -> None:
+    """big-1 of cca-main-later: with a reading a minute, own tries are what tells a runaway account."""
+    customer = Customer(api.Plan(rate=1, burst=4), 300, 0.0)
+    assert customer.lets_in(1000.0, 1.0, 0.9)
+    assert not customer.lets_in(2000.0, 1.0, 0.9)
+    assert customer.share(120000.0) > 0.9
+
+
+def test_a_plan_without_a_rate_goes_by_its_meter() -> None:
+    clock, customer = MeterClock(1000.0), Customer(api.Plan(rate=0, burst=0, parallel=4), 3, 0.0)
+    assert customer.lets_in(5.0, 1.0, 0.99)
+    customer.meter(10.0, 400, clock)
+    assert not customer.lets_in(20.0, 1.0, 0.5)
+
+
+def test_own_sends_past_the_whole_quota_are_beyond() -> None:
+    customer = Customer(PLAN, 1, 0.0)
+    passed = 0
+    for step in range(200):
+        if customer.lets_in(step * 5.0, 1.0, 0.0):
+            customer.draw(step * 5.0, 1.0)
+            passed += 1
+    assert passed <= PLAN.burst * 1.3 + PLAN.rate
+
+
+def test_a_wholly_refused_customer_recovers_without_a_meter() -> None:
+    customer = Customer(PLAN, 1, 0.0)
+    customer.store.level = -5.0
+    assert not customer.lets_in(0.0, 1.0, 0.5)
+    assert customer.lets_in(2500.0, 1.0, 0.5)
+
+
+def test_idle_customers_are_forgotten() -> None:
+    """Memory grew with every customer ever seen: thousands, at hundreds of doors each."""
+    rig = Rig()
+    for n in range(50):
+        rig.done(20.0 + n, sends(rig.arrive(10.0 + n, customer=n))[0], "ok")
+    (kept,) = sends(rig.arrive(100.0, customer=99))
+    rig.arrive(130000.0, customer=7)
+    rig.arrive(260000.0, customer=7)
+    assert set(rig.gateway.customers) == {99, 7}
+    rig.done(260010.0, kept, "ok")
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,270 @@
+"""The five rules, at their edges, without the bench."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import BASE, Rig, kinds, sends, server
+
+from ironstage import interface as api
+
+SAFE, KEYED_ALL, KEYED_ZONE, UNSAFE = range(4)
+
+
+def test_no_servers_is_answered_at_once() -> None:
+    rig = Rig([])
+    for cls in range(4):
+        assert kinds(rig.arrive(1.0, cls)) == ["Refuse"]
+
+
+def test_unsafe_is_not_repeated_or_refused_after_it_may_have_run() -> None:
+    for status in ("timeout", "error", "reset", "cancelled"):
+        rig = Rig()
+        (sent,) = sends(rig.arrive(1.0, UNSAFE))
+        assert kinds(rig.done(100.0, sent, status)) == ["Fail"]
+
+
+def test_unsafe_moves_on_after_proof_that_it_never_ran() -> None:
+    rig = Rig()
+    (sent,) = sends(rig.arrive(1.0, UNSAFE))
+    (again,) = sends(rig.done(20.0, sent, "full"))
+    assert again.server != sent.server
+    (last,) = sends(rig.done(40.0, again, "connect_failed", attempt=1))
+    assert kinds(rig.done(60.0, last, "full", attempt=2)) == ["Refuse"]
+
+
+def test_safe_is_sent_again_after_an_error() -> None:
+    rig = Rig()
+    (sent,) = sends(rig.arrive(1.0, SAFE))
+    (again,) = sends(rig.done(20.0, sent, "error"))
+    assert again.server != sent.server
+
+
+def test_keyed_stays_in_its_group() -> None:
+    rig = Rig([server(1, 0), server(2, 1), server(3, 0)])
+    (sent,) = sends(rig.arrive(1.0, KEYED_ZONE))
+    zone = {1: 0, 2: 1, 3: 0}
+    actions = rig.done(20.0, sent, "reset")
+    assert all(zone[again.server] == zone[sent.server] for again in sends(actions))
+    assert "Refuse" not in kinds(actions)
+
+
+def test_keyed_is_not_repeated_after_its_window() -> None:
+    rig = Rig([server(1, 0)])
+    (sent,) = sends(rig.arrive(1.0, KEYED_ZONE, deadline=9000.0))
+    assert kinds(rig.done(2002.0, sent, "error")) == ["Fail"]
+
+
+def test_never_two_attempts_out_where_copies_are_barred() -> None:
+    rig = Rig()
+    (sent,) = sends(rig.arrive(1.0, SAFE))
+    for now in range(50, 990, 50):
+        assert not sends(rig.tick(float(now)))
+    assert "Cancel" not in kinds(rig.done(995.0, sent, "ok"))
+
+
+def test_second_copy_goes_elsewhere_where_allowed() -> None:
+    rig = Rig(second_copies=True)
+    (sent,) = sends(rig.arrive(1.0, KEYED_ALL))
+    copies = [copy for now in range(50, 2000, 50) for copy in sends(rig.tick(float(now)))]
+    assert len(copies) <= 1 and all(copy.server != sent.server for copy in copies)
+
+
+def test_one_final_answer_when_deadline_and_outcome_race() -> None:
+    rig = Rig()
+    (sent,) = sends(rig.arrive(1.0, SAFE, deadline=300.0))
+    assert sent.until_ms <= 301.0
+    assert kinds(rig.done(301.0, sent, "timeout")) == ["Fail"]
+    assert rig.gateway.handle(301.0, api.Abandoned(sent.request)) == []
+    assert rig.done(301.0, sent, "ok") == []
+
+
+def test_abandoned_is_withdrawn_and_never_answered() -> None:
+    rig = Rig()
+    (sent,) = sends(rig.arrive(1.0, SAFE))
+    assert kinds(rig.gateway.handle(50.0, api.Abandoned(sent.request))) == ["Cancel"]
+    assert rig.done(52.0, sent, "cancelled") == []
+    assert rig.gateway.requests == {}
+
+
+def test_moot_is_answered_and_draws_no_retry() -> None:
+    rig = Rig()
+    (sent,) = sends(rig.arrive(1.0, UNSAFE))
+    assert kinds(rig.done(1.0, sent, "moot")) == ["Refuse"]
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_nothing_new_to_a_server_that_drains_or_is_gone(state: str) -> None:
+    rig = Rig()
+    rig.listed(5.0, server(1, state=state))
+    for now in range(10, 40):
+        assert {sent.server for sent in sends(rig.arrive(float(now)))} == {2}
+
+
+def test_absence_from_a_complete_list_is_gone() -> None:
+    rig = Rig()
+    rig.listed(5.0, server(2), kind="full")
+    assert all(sent.server == 2 for now in range(10, 30) for sent in sends(rig.arrive(float(now))))
+
+
+def test_a_failed_list_keeps_the_last() -> None:
+    rig = Rig()
+    rig.listed(5.0, kind="failed")
+    assert sends(rig.arrive(6.0))
+
+
+def test_cold_server_takes_a_small_share_and_no_burst() -> None:
+    rig = Rig([server(n) for n in range(1, 9)])
+    cold, total = 0, 0
+    for step in range(3000):
+        now = 10.0 * step + 1
+        if step == 1500:
+            rig.listed(now, server(1, started=now))
+        for sent in sends(rig.arrive(now)):
+            total += step >= 1500 and now < 16000.0
+            cold += sent.server == 1 and step >= 1500 and now < 16000.0
+            rig.done(now + 5.0, sent, "ok", elapsed=5.0)
+    assert total > 50
+    assert cold <= total / 8 * BASE.cold_from * BASE.tip_multiple
+
+
+def ceiling_rig(doors: int, **changes: object) -> tuple[Rig, api.Plan]:
+    plan = api.Plan(rate=50, burst=100, ceiling_rate=8, ceiling_depth=12, ceiling_slack=1)
+    return Rig(plans=(plan,), **changes), plan
+
+
+def test_ceiling_holds_alone_and_starts_empty() -> None:
+    rig, plan = ceiling_rig(2)
+    passed = 0
+    for step in range(2000):
+        now = 1.0 + step * 5
+        for sent in sends(rig.arrive(now, doors=2)):
+            passed += 1
+            rig.done(now + 2, sent, "ok", elapsed=2.0)
+        assert passed <= plan.ceiling_rate / 2 * (now / 1000.0) + 1
+    assert passed >= plan.ceiling_rate / 2 * 9
+
+
+def test_parallel_cap_bounds_attempts_out() -> None:
+    rig = Rig(plans=(api.Plan(rate=1000, burst=1000, parallel=3),))
+    assert sum(len(sends(rig.arrive(1.0 + n))) for n in range(9)) == 3
+
+
+def test_a_mostly_silent_fleet_is_a_jam_not_lost_servers() -> None:
+    """Incident if55596: every server became suspect, so no time-out counted and no cap came."""
+    rig = Rig()
+    for sent in [sends(rig.arrive(1.0 + n))[0] for n in range(30)]:
+        rig.done(1100.0, sent, "timeout", elapsed=1000.0)
+    assert rig.gateway.fleet.all_slow()
+    assert rig.gateway.lost
+
+
+def test_a_jam_brings_lane_caps_though_every_latency_is_long() -> None:
+    """Incident if55596: with the tenth percentile grown too, load read low and no cap came."""
+    rig = Rig()
+    for step in range(700):
+        now = 10.0 * step + 1
+        elapsed = 60.0 + 60.0 * (step % 4) if step < 200 else 900.0
+        for sent in sends(rig.arrive(now)):
+            rig.gateway.count[0] += 1  # as if it stayed out for its latency
+            rig.done(now + 1, sent, "ok", elapsed=elapsed)
+            rig.gateway.count[0] -= 1
+        if step % 5 == 0:
+            rig.gateway.mean_out = 9.0
+            rig.tick(now)
+    assert rig.gateway.caps[0] < float("inf")
+
+
+def test_a_silent_server_is_left_alone_and_tried_again_now_and_then() -> None:
+    """big-1 of cca-main-later: servers vanish; with an attempt a minute only its time-out tells."""
+    rig = Rig([server(n) for n in range(1, 5)])
+    (lost,) = sends(rig.arrive(1.0))
+    rig.done(1001.0, lost, "timeout", elapsed=1000.0)
+    for now in range(1010, 1900, 10):
+        (sent,) = sends(rig.arrive(float(now)))
+        assert sent.server != lost.server
+        rig.done(now + 5.0, sent, "ok", elapsed=5.0)
+    tried = set()
+    for now in range(2100, 3000, 10):
+        (sent,) = sends(rig.arrive(float(now)))
+        tried.add(sent.server)
+        rig.done(now + 5.0, sent, "ok", elapsed=5.0)
+    assert lost.server in tried
+
+
+def lossy_rig(slow: float) -> Rig:
+    """A quarter of the answers never comes; the others take `slow` ms."""
+    rig = Rig([server(n) for n in range(1, 9)])
+    for step in range(80):
+        now = 1.0 + 100.0 * step
+        for sent in sends(rig.arrive(now)):
+            status, elapsed = ("timeout", 1000.0) if step % 4 == 0 else ("ok", slow)
+            rig.done(now + 50.0, sent, status, elapsed=elapsed, closed=True)
+    return rig
+
+
+def test_lost_answers_are_told_from_a_jam_and_given_up_early() -> None:
+    """overload of cca-main-later: servers work and answer, but a quarter of the answers is lost."""
+    rig = lossy_rig(100.0)
+    (sent,) = sends(rig.arrive(8100.0, SAFE))
+    assert sent.until_ms < 8100.0 + 600.0
+    (once,) = sends(rig.arrive(8110.0, UNSAFE))
+    assert once.until_ms > 8110.0 + 1400.0
+    (jam,) = sends(lossy_rig(800.0).arrive(8100.0, SAFE)) or [None]
+    assert jam is None or jam.until_ms > 8100.0 + 900.0
+
+
+def test_an_idle_gateway_sets_no_timer() -> None:
+    """Incident i724dc8: hundreds of gateways ticking over all servers were cut off for CPU."""
+    rig = Rig([server(n) for n in range(1, 50)])
+    (sent,) = sends(actions := rig.arrive(2.0))
+    actions += rig.listed(3.0, server(1)) + rig.done(30.0, sent, "ok")
+    assert "SetTimer" not in kinds(actions)
+
+
+def test_hundreds_of_gateways_add_up_to_a_cold_servers_part() -> None:
+    """big-1 of cca-main-later: each earns less than one send while a hall warms, and so it got none."""
+    rigs = [Rig([server(n) for n in range(1, 41)], gateways=200) for _ in range(60)]
+    for seed, rig in enumerate(rigs):
+        rig.gateway.rng.seed(seed)
+        for now in range(0, 5000, 500):
+            rig.done(now + 9.0, sends(rig.arrive(float(now + 1)))[0], "ok", elapsed=8.0)
+        rig.listed(5000.0, server(1, started=5000.0))
+    sent = sum(
+        s.server == 1
+        for rig in rigs
+        for now in range(5010, 15000, 500)
+        for s in sends(rig.arrive(float(now)))
+    )
+    fair = 60 * 20 / 40  # what a warm server would have got
+    assert 0.2 * fair < sent < fair
+
+
+def test_a_fleet_that_is_wholly_cold_is_used_a_little() -> None:
+    rig = Rig([server(n, started=100.0) for n in range(1, 11)])
+    answers = [sends(rig.arrive(100.0 + 50.0 * n)) for n in range(100)]
+    assert 5 < sum(1 for sent in answers if sent) < 80
+
+
+def test_a_zone_that_only_fails_is_left_alone_but_for_trials() -> None:
+    """rough-1 of spokane-north-later: nobody can find out each server of a lost hall by itself."""
+    rig = Rig([server(n, zone=n % 2) for n in range(1, 21)])
+    for now in range(10, 400, 10):
+        for sent in sends(rig.arrive(float(now))):
+            status = "connect_failed" if sent.server % 2 else "ok"
+            for again in sends(rig.done(now + 2.0, sent, status)):
+                rig.done(now + 4.0, again, "connect_failed" if again.server % 2 else "ok", attempt=1)
+    first = [sends(rig.arrive(500.0 + n))[0].server % 2 for n in range(20)]
+    assert sum(first) == 0
+    assert any(sends(rig.arrive(2500.0 + n))[0].server % 2 for n in range(30))
+
+
+def test_a_missing_report_is_not_idleness() -> None:
+    """big-1 of tacoma-east-later: servers not heard of lately were taken for idle ones."""
+    rig = Rig([server(n) for n in range(1, 4)], report_fields=("inflight",), gateways=300)
+    fleet = rig.gateway.fleet
+    for now in range(1, 40):
+        fleet.report(float(now), 1, (9.0,))
+        fleet.report(float(now), 2, (2.0,))
+    idle, busy, unheard = (fleet.cost(fleet.peers[n], 50.0) for n in (2, 1, 3))
+    assert idle < unheard < busy
+    assert fleet.cost(fleet.peers[1], 60000.0) == fleet.cost(fleet.peers[3], 60000.0)
--- /dev/null
+++ b/tests/test_search.py
@@ -0,0 +1,81 @@
+"""The threshold search against the paper's Table 1 and a brute force over the product form."""
+
+from __future__ import annotations
+
+import math
+import time
+
+import pytest
+
+from ironstage.logic import BOUND, j_sums, sole_caller, thresholds
+
+TABLE_1 = [(0.80, 32, 5), (0.85, 23, 5), (0.90, 20, 5), (1.00, 18, 5), (1.20, 16, 5), (1.50, 15, 5)]
+
+
+@pytest.mark.parametrize(("lambda1", "m1", "m2"), TABLE_1)
+def test_table_1(lambda1: float, m1: int, m2: int) -> None:
+    assert thresholds(lambda1, 0.3, 20.0, 0.2 / 0.3) == (m1, m2)
+
+
+def measures(rho1: float, rho2: float, m1: int, m2: int) -> tuple[float, float, float]:
+    """T1/lambda1, S1 mu1 and T2/lambda2 summed straight from (4) to (8)."""
+    weight = {(a, b): math.comb(a + b, a) * rho1**a * rho2**b for a in range(m1 + 1) for b in range(m2 + 1)}
+    total = sum(weight.values())
+    first = sum(w for (a, _), w in weight.items() if a < m1) / total
+    second = sum(w for (_, b), w in weight.items() if b < m2) / total
+    length = sum(a * w for (a, _), w in weight.items()) / total
+    return first, (length / (rho1 * first) if first else math.inf), second
+
+
+@pytest.mark.parametrize("rho1", [0.2, 0.7, 1.1, 1.6])
+@pytest.mark.parametrize("rho2", [0.1, 0.5, 1.2])
+@pytest.mark.parametrize("sojourn", [2.0, 4.0])
+@pytest.mark.parametrize("floor", [0.3, 0.6, 0.9])
+def test_brute_force(rho1: float, rho2: float, sojourn: float, floor: float) -> None:
+    found = thresholds(rho1, rho2, sojourn, floor)
+    top = 0.0
+    for m1 in range(1, 22):
+        for m2 in range(22):
+            first, wait, second = measures(rho1, rho2, m1, m2)
+            if wait <= sojourn and second >= floor:
+                top = max(top, first)
+    if found is None:
+        assert top == 0.0
+        return
+    finite = [int(min(m, 60)) for m in found]
+    first, wait, second = measures(rho1, rho2, *finite)
+    assert first >= top - 1e-9
+    assert wait <= sojourn + 1e-6 and second >= floor - 1e-6
+
+
+def test_light_load_has_no_cap() -> None:
+    assert thresholds(0.2, 0.2, 2.0, 0.9) == (math.inf, math.inf)
+
+
+def test_whole_floor_leaves_lane_two_free_or_is_infeasible() -> None:
+    found = thresholds(0.8, 0.3, 4.0, 1.0)
+    assert found is not None and found[1] == math.inf and found[0] < math.inf
+    assert thresholds(0.8, 1.3, 4.0, 1.0) is None
+
+
+def test_infinite_sums_are_limits() -> None:
+    rho1, rho2, n = 0.5, 0.3, 4
+    terms = [(i, j, math.comb(i + j, i) * rho1**i * rho2**j) for i in range(300) for j in range(n + 1)]
+    expected = (
+        sum(t for _, _, t in terms),
+        sum(i * t for i, _, t in terms),
+        sum(j * t for _, j, t in terms),
+    )
+    assert j_sums(n, rho1, rho2) == pytest.approx(expected)
+
+
+def test_sole_caller_agrees_with_product_form() -> None:
+    _, wait, second = measures(0.7, 0.4, 1, 3)
+    assert sole_caller(0.7, 0.4, 3) == pytest.approx((wait, second))
+
+
+def test_cost_is_bounded() -> None:
+    began = time.perf_counter()
+    for rho in (0.5, 0.99, 1.5, 4.0):
+        thresholds(rho, rho, BOUND * 4.0, 0.5)
+    assert time.perf_counter() - began < 2.0
