--- /dev/null
+++ b/ironstage/__main__.py
@@ -0,0 +1,67 @@
+"""`python -m ironstage`: one limiter, until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from ironstage.net import config as configuration
+from ironstage.net.clients import Clients
+from ironstage.net.discovery import Watch
+from ironstage.net.limiter import MARGIN, SERVER_PART, Limiter
+
+log = logging.getLogger("ironstage")
+
+SWEEP_S = 1.0
+
+
+async def _sweep(limiter: Limiter, clients: Clients) -> None:
+    while True:
+        await asyncio.sleep(SWEEP_S)
+        limiter.sweep()
+        clients.sweep()
+
+
+async def serve(config: configuration.Config) -> None:
+    """Serve until told to end, then finish what was taken."""
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    limiter = Limiter(config)
+    most = int((config.sockets - MARGIN) * (1 - SERVER_PART))
+    clients = Clients(limiter, config.settings, config.listen, most)
+    watch = Watch(config.discovery, limiter.listed)
+    watch.seq = limiter.known_seq
+    tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
+    clients.listen()
+    log.info("%s listens at %s:%d", config.name, *clients.address)
+    await stop.wait()
+    log.info("draining")
+    await clients.drain()
+    for task in tasks:
+        task.cancel()
+    limiter.close()
+
+
+def main() -> int:
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    try:
+        config = configuration.load(os.environ)
+    except configuration.ConfigError as error:
+        log.error("%s", error)
+        return 2
+    # The start's objects stay for good; searching them again and again would stall requests.
+    gc.freeze()
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ironstage/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real limiter round the decision module: sockets, clocks and timers, no policy."""
--- /dev/null
+++ b/ironstage/net/clients.py
@@ -0,0 +1,436 @@
+"""The clients' side: connections, requests read and checked, answers written in their order."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import math
+import re
+import socket
+from collections import deque
+from http import HTTPStatus
+from time import monotonic
+from typing import cast
+
+import httptools
+
+from ironstage.interface import Effect, Settings
+from ironstage.net.config import Address
+from ironstage.net.limiter import Limiter, Terms
+
+log = logging.getLogger(__name__)
+
+BODY_LIMIT = 64 * 1024
+HEAD_LIMIT = 16 * 1024
+PIPELINED = 4  # requests read ahead on a connection; further ones stay in the socket
+ACCEPTS = 64  # connections taken at a time, so that those that are open get their turn
+ACCEPT_AGAIN_S = 0.05  # after the descriptors ran out
+STALL_S = 10.0  # a request that takes longer to come is given up
+LINGER_S = 1.0  # how long a refused sender may go on before its connection is cut
+DRAIN_S = 0.45  # after SIGTERM new connections come for 0.4 s at the most
+QUIET_S = 0.1  # and the last of them shall be so old before nobody listens any more
+DRAIN_MOST_S = 0.6
+FIRST_S = 0.3  # what a new connection gets for its first request during a drain
+FLUSH_S = 0.2
+
+CUSTOMER = re.compile(rb"[0-9A-Fa-f]{16}")
+REQ_ID = re.compile(rb"[!-~]{1,128}")
+FIRST_PART = re.compile(rb"/([^/?#]*)")
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+
+class BadRequestError(Exception):
+    """What is wrong with a request that is not taken on."""
+
+    def __init__(self, code: int, what: str) -> None:
+        super().__init__(what)
+        self.code = code
+
+
+class Call:
+    """One request of a client and, once it is there, its answer."""
+
+    __slots__ = ("_connection", "body", "forward", "ident", "keep", "reply")
+
+    def __init__(self, connection: _Client, keep: bool, forward: bytes = b"", body: bytes = b"") -> None:
+        self._connection = connection
+        self.keep = keep
+        self.forward = forward
+        self.body = body
+        self.ident = 0
+        self.reply: tuple[int, bytes, bytes] | None = None
+
+    def answer(self, code: int, body: bytes = b"", content_type: bytes = b"", retry_s: float = 0.0) -> None:
+        if self.reply is None:
+            headers = b"Content-Type: " + content_type + b"\r\n" if content_type else b""
+            if retry_s > 0:
+                headers += f"Retry-After: {retry_s:.3f}\r\n".encode()
+            self.reply = code, headers, body
+            self._connection.flush()
+
+
+class Checker:
+    """The form of a request, by the settings; a request that has another one counts nowhere."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._classes = {c.name.encode(): (n, c.effect) for n, c in enumerate(settings.classes)}
+        self._plans = {plan.name.encode(): n for n, plan in enumerate(settings.plans)}
+
+    def terms(self, method: bytes, url: bytes, headers: dict[bytes, bytes], body: bool) -> Terms:
+        path = FIRST_PART.match(url)
+        if path is None or path[1] not in self._classes:
+            raise BadRequestError(404, "no such class in the path")
+        if headers.get(b"req-kind") != path[1]:
+            raise BadRequestError(400, "Req-Kind is not the class in the path")
+        cls, effect = self._classes[path[1]]
+        self._method(method, effect, headers, body)
+        if not REQ_ID.fullmatch(headers.get(b"req-id", b"")):
+            raise BadRequestError(400, "Req-Id is missing or wrong")
+        plan, key = self._plans.get(headers.get(b"x-tier", b"")), headers.get(b"x-api-key", b"")
+        if plan is None:
+            raise BadRequestError(400, "X-Tier is missing or names no plan")
+        if not CUSTOMER.fullmatch(key) or (customer := int(key, 16)) >= 1 << 33:
+            raise BadRequestError(400, "X-Api-Key is missing or names no customer")
+        wait = _number(headers.get(b"req-deadline", b""), "Req-Deadline")
+        units, doors = _call_terms(headers.get(b"x-call-terms", b""))
+        return Terms(cls, plan, customer, units, doors, wait)
+
+    def _method(self, method: bytes, effect: Effect, headers: dict[bytes, bytes], body: bool) -> None:
+        if method != (b"GET" if effect is Effect.SAFE else b"POST"):
+            raise BadRequestError(405, "not the method of this class")
+        if effect is Effect.SAFE and body:
+            raise BadRequestError(400, "a GET with a body")
+        if (effect is Effect.KEYED) != bool(headers.get(b"idempotency-key")):
+            raise BadRequestError(400, "Idempotency-Key is missing, or not of this class")
+
+
+def _number(raw: bytes, name: str) -> float:
+    try:
+        value = float(raw)
+    except ValueError:
+        value = math.nan
+    if not (math.isfinite(value) and value > 0):
+        raise BadRequestError(400, f"{name} is not a number above 0")
+    return value
+
+
+def _call_terms(raw: bytes) -> tuple[float, int]:
+    """The units, and how many limiters the customer comes through."""
+    pairs = dict(part.strip().partition(b"=")[::2] for part in raw.split(b","))
+    units = _number(pairs.get(b"units", b""), "units in X-Call-Terms")
+    spread, first = pairs.get(b"spread", b""), pairs.get(b"first", b"")
+    if not (spread.isdigit() and first.isdigit() and 0 < int(spread[:9]) < 1 << 16):
+        raise BadRequestError(400, "spread or first in X-Call-Terms is missing or wrong")
+    return units, int(spread)
+
+
+class _Client(asyncio.Protocol):
+    """One connection of a client."""
+
+    def __init__(self, clients: Clients) -> None:
+        self._clients = clients
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._calls: deque[Call] = deque()
+        self._deaf = False  # no further request is read from it
+        self._paused = False
+        self._stuck = False  # it does not read its answers
+        self._url = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+        self._headed = False
+        self.begun: float | None = None  # since when a request is coming in
+        self.made = monotonic()
+        self.served = False
+
+    # --- Connection ----------------------------------------------------------------------------
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's own is no subclass of it
+        self._clients.idle[self] = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._deaf = True
+        self._clients.gone(self)
+        calls, self._calls = self._calls, deque()
+        for call in calls:
+            if call.reply is None:
+                self._clients.limiter.abandon(call.ident)
+
+    def pause_writing(self) -> None:
+        self._stuck = True
+        self._pace()
+
+    def resume_writing(self) -> None:
+        self._stuck = False
+        self._pace()
+
+    def _pace(self) -> None:
+        """Read on only where what was read before moves on: else one client could fill the memory."""
+        full = self._stuck or len(self._calls) >= PIPELINED
+        if self._transport and full != self._paused and not self._transport.is_closing():
+            self._paused = full
+            if full:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+
+    def close(self) -> None:
+        self._deaf = True
+        if self._transport:
+            self._transport.close()
+
+    @property
+    def idle(self) -> bool:
+        return not self._calls and self.begun is None
+
+    # --- Reading -------------------------------------------------------------------------------
+    def data_received(self, data: bytes) -> None:
+        if self._deaf:
+            return
+        if self.begun is None:
+            self.begun = monotonic()
+            self._clients.idle.pop(self, None)
+        self._size += 0 if self._headed else len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._deaf = True  # the request itself is answered as any other
+        except httptools.HttpParserError:
+            self.reject(400)
+        if not self._headed and self._size > HEAD_LIMIT + (len(data) if self._calls else 0):
+            self.reject(431)
+        self.flush()
+
+    def on_message_begin(self) -> None:
+        self._url, self._headers, self._body, self._headed = b"", {}, [], False
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._bound(len(self._url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.lower()] = value.strip()
+        self._bound(len(name) + len(value))
+
+    def _bound(self, size: int) -> None:
+        if size > HEAD_LIMIT or len(self._headers) > 100:
+            self.reject(431)
+
+    def on_headers_complete(self) -> None:
+        self._headed, self._size = True, 0
+        length = self._headers.get(b"content-length", b"0")
+        if length.isdigit() and int(length[:9]) > BODY_LIMIT:
+            self.reject(413)
+        elif (
+            self._headers.get(b"expect", b"").lower() == b"100-continue"
+            and not self._calls
+            and self._transport
+        ):
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > BODY_LIMIT:
+            self.reject(413)
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self.begun, self._headed, self._size = None, False, 0
+        if self._deaf:
+            return
+        keep = self._parser.should_keep_alive()
+        self._deaf = not keep
+        self._take(keep)
+        self._pace()
+
+    def _take(self, keep: bool) -> None:
+        """Take a whole request on, or answer at once that it is none."""
+        method, url, body = self._parser.get_method(), self._url, b"".join(self._body)
+        self._body = []
+        if url.partition(b"?")[0] == b"/up":
+            self._reply(keep, 200 if self._clients.ready else 503)
+            return
+        try:
+            terms = self._clients.checker.terms(method, url, self._headers, bool(body))
+        except BadRequestError as error:
+            self._reply(keep, error.code, str(error))
+            return
+        head = [method, b" ", url, b" HTTP/1.1\r\nHost: backend.local\r\nReq-Id: ", self._headers[b"req-id"]]
+        if key := self._headers.get(b"idempotency-key"):
+            head += [b"\r\nIdempotency-Key: ", key]
+        if kind := self._headers.get(b"content-type"):
+            head += [b"\r\nContent-Type: ", kind]
+        if method == b"POST":
+            head += [b"\r\nContent-Length: ", str(len(body)).encode()]
+        call = Call(self, keep, b"".join([*head, b"\r\n"]), body)
+        self._calls.append(call)
+        call.ident = self._clients.limiter.take(call, terms)
+
+    def _reply(self, keep: bool, code: int, text: str = "") -> None:
+        call = Call(self, keep)
+        self._calls.append(call)
+        call.answer(code, text.encode(), b"text/plain" if text else b"")
+
+    def reject(self, code: int) -> None:
+        """Answer what can't be read to its end, behind the answers that are due before it."""
+        if not self._deaf:
+            self._deaf = True
+            self._reply(False, code)
+
+    # --- Answering -----------------------------------------------------------------------------
+    def flush(self) -> None:
+        """Write the answers that are there, in the order of their requests, in one piece."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        parts, last = [], False
+        while self._calls and (reply := self._calls[0].reply):
+            call = self._calls.popleft()
+            code, headers, body = reply
+            last = not self._calls and (not call.keep or self._clients.draining)
+            parts += [
+                f"HTTP/1.1 {code} {REASONS[code]}\r\nContent-Length: {len(body)}\r\n".encode(),
+                headers,
+                b"Connection: close\r\n\r\n" if last else b"\r\n",
+                body,
+            ]
+        if parts:
+            self.served = True
+            self._transport.write(b"".join(parts))
+            self._pace()
+        if last:
+            self._end()
+        elif self.idle and not self._deaf:
+            self._clients.idle[self] = None
+
+    def _end(self) -> None:
+        """Close behind the last answer. Cut off at once, a sender still at it could lose that answer."""
+        self._deaf = True
+        if self._transport is None:
+            return
+        if self.begun is None:
+            self._transport.close()
+        else:
+            self.begun = None
+            self._transport.write_eof()
+            asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+
+
+class Clients:
+    """The listener and the connections it took; they are bounded and end in an orderly drain."""
+
+    def __init__(self, limiter: Limiter, settings: Settings, address: Address, most: int) -> None:
+        self.limiter = limiter
+        self.checker = Checker(settings)
+        self.draining = False
+        self.idle: dict[_Client, None] = {}  # between requests, the longest idle first
+        self._open: set[_Client] = set()
+        self._joining: set[asyncio.Task[None]] = set()
+        self._most = most
+        self._last_accept = 0.0
+        self._accepting = False
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._listener = socket.create_server(address, family=family, backlog=1024)
+        self._listener.setblocking(False)
+
+    @property
+    def address(self) -> Address:
+        host, port, *_ = self._listener.getsockname()
+        return host, port
+
+    @property
+    def ready(self) -> bool:
+        return self.limiter.ready and not self.draining
+
+    def listen(self) -> None:
+        if not self._accepting and self._listener.fileno() >= 0:
+            self._accepting = True
+            asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
+    def _rest(self, seconds: float) -> None:
+        """Leave new connections in the backlog for a while; a busy loop over them would help nobody."""
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener)
+        self._accepting = False
+        loop.call_later(seconds, self.listen)
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS):
+            if len(self._open) >= self._most and not self._make_room():
+                self._rest(ACCEPT_AGAIN_S)
+                return
+            try:
+                sock, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTORS:
+                    raise
+                log.warning("no descriptor for a new connection: %s", error)
+                self._make_room()
+                self._rest(ACCEPT_AGAIN_S)
+                return
+            self._last_accept = monotonic()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = _Client(self)
+            self._open.add(client)
+            task = asyncio.get_running_loop().create_task(self._join(client, sock))
+            self._joining.add(task)
+            task.add_done_callback(self._joining.discard)
+
+    async def _join(self, client: _Client, sock: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: client, sock)
+        except OSError as error:
+            log.warning("a connection broke at its start: %s", error)
+            sock.close()
+            self.gone(client)
+
+    def _make_room(self) -> bool:
+        """Close the connection that has been between requests for longest."""
+        client = next(iter(self.idle), None)
+        if client is None:
+            return False
+        del self.idle[client]
+        client.close()
+        return True
+
+    def gone(self, client: _Client) -> None:
+        self._open.discard(client)
+        self.idle.pop(client, None)
+
+    def sweep(self) -> None:
+        """End requests that never come whole: each would hold its socket for good."""
+        limit = monotonic() - STALL_S
+        for client in [c for c in self._open if c.begun is not None and c.begun < limit]:
+            client.reject(408)
+
+    async def drain(self) -> None:
+        """Finish what was taken: listen while connections still come, then until all is answered."""
+        start = monotonic()
+        self.draining = True
+        self._close_idle(start)
+        while (now := monotonic()) < start + DRAIN_MOST_S:
+            if now >= max(start + DRAIN_S, self._last_accept + QUIET_S):
+                break
+            await asyncio.sleep(0.01)
+        asyncio.get_running_loop().remove_reader(self._listener)
+        self._accept()  # what came since the last turn is taken, too
+        asyncio.get_running_loop().remove_reader(self._listener)
+        self._listener.close()
+        while self.limiter.open or any(not c.served and c.made > monotonic() - FIRST_S for c in self._open):
+            self._close_idle(monotonic())
+            await asyncio.sleep(0.01)
+        for client in list(self._open):
+            client.close()
+        end = monotonic() + FLUSH_S
+        while self._open and monotonic() < end:
+            await asyncio.sleep(0.01)
+
+    def _close_idle(self, now: float) -> None:
+        for client in [c for c in self.idle if c.served or c.made < now - FIRST_S]:
+            self.idle.pop(client, None)
+            client.close()
--- /dev/null
+++ b/ironstage/net/config.py
@@ -0,0 +1,102 @@
+"""What a limiter is told at its start: the `GW_*` variables and the JSON file they name."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from ironstage import interface as api
+from ironstage.wire import WireError, parse_settings
+
+Address = tuple[str, int]
+
+SOCKETS = 1024  # descriptors; what DEPLOY grants on the days that count, where the file is silent
+CONNECT_MS = 250.0
+IDLE_MS = 15_000.0
+MAX_OPEN = 1000  # requests in hand: with bodies of 64 KiB at either end they stay within the memory
+
+
+class ConfigError(ValueError):
+    """A variable or file that does not describe a limiter; says what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    max_open: int
+    settings: api.Settings
+    zones: tuple[str, ...]
+    connect_s: float
+    idle_s: float  # a server closes a connection that has stood idle for so long
+    known: Any  # the last list of servers, in discovery's form
+
+
+def parse_address(text: object) -> Address:
+    """`host:port` with a literal address; an IPv6 one stands in brackets."""
+    if not isinstance(text, str):
+        raise ConfigError(f"not an address: {text!r}")
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"not an address of the form host:port: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def _object(raw: Any, key: str) -> dict[str, Any]:
+    value = raw.get(key, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key} is not an object")
+    return value
+
+
+def _number(raw: dict[str, Any], key: str, default: float) -> float:
+    value = raw.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise ConfigError(f"{key} is not a number above 0")
+    return float(value)
+
+
+def _seed(text: object) -> int:
+    try:
+        return int(str(text), 16)
+    except ValueError:
+        raise ConfigError(f"seed is not a hexadecimal number: {text!r}") from None
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration; the variables stand above the file's entries of the same meaning."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: not an object")
+    settings, limits = _object(raw, "settings"), _object(raw, "limits")
+    ceilings = _object(settings, "ceilings")
+    try:
+        decoded = parse_settings(json.dumps(settings).encode())
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+    zones = settings.get("zones", [])
+    return Config(
+        name=environ.get("GW_NAME") or str(raw.get("name", "")),
+        listen=parse_address(environ.get("GW_LISTEN") or raw.get("listen")),
+        discovery=parse_address(environ.get("GW_DISCOVERY") or raw.get("discovery")),
+        seed=_seed(raw.get("seed", "0")),
+        sockets=int(_number(limits, "sockets", SOCKETS)),
+        max_open=int(min(MAX_OPEN, _number(ceilings, "maxOpen", MAX_OPEN))),
+        settings=decoded,
+        zones=tuple(str(zone) for zone in zones) if isinstance(zones, list) else (),
+        connect_s=_number(ceilings, "connectTimeoutMs", CONNECT_MS) / 1000,
+        idle_s=_number(ceilings, "connIdleMs", IDLE_MS) / 1000,
+        known=raw.get("known"),
+    )
--- /dev/null
+++ b/ironstage/net/discovery.py
@@ -0,0 +1,193 @@
+"""Discovery: the list of servers and its watch, taken up again with backoff when it breaks."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import httptools
+
+from ironstage import interface as api
+from ironstage.net.config import Address, ConfigError, parse_address
+
+log = logging.getLogger(__name__)
+
+SILENCE_S = 4.5  # the agent writes every 2 s; what it has to tell counts as told after 6 s anyway
+CONNECT_S = 1.0
+BACKOFF_S = (0.05, 1.0)  # first and longest wait before the watch is taken up again
+LONGEST_LINE = 4 << 20  # bytes; a line that never ends must not fill the memory
+
+STATES = {
+    "active": api.ServerState.READY,
+    "leaving": api.ServerState.DRAINING,
+    "left": api.ServerState.GONE,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    name: str
+    dial: Address
+    zone: str
+    cell: int
+    state: api.ServerState
+    rating: float
+    born_ms: float  # Unix time, 0 for long ago
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    seq: int
+    whole: bool
+    hosts: tuple[Host, ...]
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"not finite: {value!r}")
+    return number
+
+
+def _host(raw: Any) -> Host:
+    state, name = STATES[raw["health"]], raw["host"]
+    if not isinstance(name, str) or not name:
+        raise ValueError(f"no host: {raw!r}")
+    return Host(
+        name=name,
+        # One that left may come without an address: nothing is sent there any more.
+        dial=("", 0) if state is api.ServerState.GONE else parse_address(raw["dial"]),
+        zone=str(raw.get("site", "")),
+        cell=int(raw.get("block", 0)),
+        state=state,
+        rating=_finite(raw.get("share", 1.0)),
+        born_ms=_finite(raw.get("born_ms", 0)),
+    )
+
+
+def parse_list(raw: Any) -> tuple[HostList, bool]:
+    """A list and whether all of it could be read; ValueError where it is none at all.
+
+    A list with an entry that can't be read is no longer whole: what it does not name may be that
+    entry, and must not count as gone.
+    """
+    if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
+        raise ValueError("not a list of hosts")
+    seq = raw.get("seq")
+    if isinstance(seq, bool) or not isinstance(seq, int):
+        raise ValueError("seq is not a whole number")
+    hosts, sound = [], True
+    for entry in raw["hosts"]:
+        try:
+            hosts.append(_host(entry))
+        except (KeyError, TypeError, ValueError, OverflowError, ConfigError) as error:
+            log.warning("discovery: entry of list %d skipped: %r", seq, error)
+            sound = False
+    return HostList(seq, sound and raw.get("whole") is True, tuple(hosts)), sound
+
+
+class _Stream(asyncio.Protocol):
+    """One watch: cuts the chunked answer into lines."""
+
+    def __init__(self, on_line: Callable[[bytes], bool]) -> None:
+        self._on_line = on_line
+        self._parser = httptools.HttpResponseParser(self)
+        self._rest = b""
+        self._body = b""
+        self._transport: asyncio.Transport | None = None
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.heard = asyncio.get_running_loop().time()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's own is no subclass of it
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = asyncio.get_running_loop().time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            log.warning("discovery: %r", error)
+            self.close()
+            return
+        *lines, self._rest = (self._rest + self._body).split(b"\n")
+        self._body = b""
+        if len(self._rest) > LONGEST_LINE:
+            log.warning("discovery: a line of over %d bytes", LONGEST_LINE)
+            self.close()
+        for line in lines:
+            if line.strip() and not self._on_line(line):
+                self.close()
+                return
+
+    def on_body(self, body: bytes) -> None:
+        if self._parser.get_status_code() == 200:
+            self._body += body
+
+    def on_message_complete(self) -> None:
+        self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def close(self) -> None:
+        if self._transport:
+            self._transport.close()
+
+
+class Watch:
+    """Keeps one watch open and hands on each list that says something new."""
+
+    def __init__(self, address: Address, on_list: Callable[[HostList], None]) -> None:
+        self._address = address
+        self._on_list = on_list
+        self._fresh = True
+        self.seq = 0
+
+    async def run(self) -> None:
+        """Watch for ever; each break is followed by a new watch from the last version read."""
+        wait, longest = BACKOFF_S
+        while True:
+            before = self.seq
+            try:
+                await self._follow()
+            except (OSError, TimeoutError) as error:
+                log.warning("discovery: %r", error)
+            wait = BACKOFF_S[0] if self.seq != before else min(longest, wait * 2)
+            await asyncio.sleep(wait)
+
+    async def _follow(self) -> None:
+        loop = asyncio.get_running_loop()
+        host, port = self._address
+        self._fresh = True
+        async with asyncio.timeout(CONNECT_S):
+            transport, stream = await loop.create_connection(lambda: _Stream(self._line), host, port)
+        query = f"GET /discovery/hosts?follow=1&since={self.seq} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        transport.write(query.encode())
+        try:
+            # TCP does not tell that the other machine vanished: only its silence does.
+            while not stream.ended.done() and (left := stream.heard + SILENCE_S - loop.time()) > 0:
+                await asyncio.wait([stream.ended], timeout=left)
+        finally:
+            transport.abort()
+
+    def _line(self, line: bytes) -> bool:
+        """Take one line; False where it must be asked for again."""
+        try:
+            told, sound = parse_list(json.loads(line))
+        except (ValueError, RecursionError) as error:
+            log.warning("discovery: line skipped: %r", error)
+            return False
+        # Repeats and stragglers are old news; only the first line of a watch may start versions anew.
+        if told.seq <= self.seq and not (self._fresh and told.whole):
+            return True
+        self._fresh = False
+        self._on_list(told)
+        if sound:
+            self.seq = told.seq
+        return sound
