Loopback tests for both sides, the watch and the process; four mends that they led to

Found by them, each failing before its mend: - clients.flush answered during parsing, so in a drain "Connection: close" went out ahead of a request already in the same bytes, which was then lost; - a request with Upgrade was answered but its connection never closed (keep-alive was asked of the parser alone); - a header without end behind another request in one read went uncounted: bytes are now parsed in pieces of the head's limit; - out of descriptors, _make_room closed connections that had not yet had time to send their first request. Ruled out: the same faults on the servers' side (framing cases pass).

--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -31,7 +31,7 @@
 DRAIN_S = 0.45  # after SIGTERM new connections come for 0.4 s at the most
 QUIET_S = 0.1  # and the last of them shall be so old before nobody listens any more
 DRAIN_MOST_S = 0.6
-FIRST_S = 0.3  # what a new connection gets for its first request during a drain
+FIRST_S = 0.3  # what a new connection gets for its first request, also during a drain
 FLUSH_S = 0.2
 
 CUSTOMER = re.compile(rb"[0-9A-Fa-f]{16}")
@@ -134,6 +134,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._calls: deque[Call] = deque()
+        self._reading = False  # bytes are being parsed
         self._deaf = False  # no further request is read from it
         self._paused = False
         self._stuck = False  # it does not read its answers
@@ -188,6 +189,15 @@
 
     # --- Reading -------------------------------------------------------------------------------
     def data_received(self, data: bytes) -> None:
+        # In pieces, so that a head's size is known to one piece however much is read at once. Nothing is
+        # answered between them: a drain closes behind the last answer, and a request may follow in here.
+        self._reading = True
+        for start in range(0, len(data), HEAD_LIMIT):
+            self._feed(data[start : start + HEAD_LIMIT])
+        self._reading = False
+        self.flush()
+
+    def _feed(self, data: bytes) -> None:
         if self._deaf:
             return
         if self.begun is None:
@@ -197,12 +207,11 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._deaf = True  # the request itself is answered as any other
+            self._deaf = True  # the request itself was taken as any other
         except httptools.HttpParserError:
             self.reject(400)
-        if not self._headed and self._size > HEAD_LIMIT + (len(data) if self._calls else 0):
+        if not self._headed and self._size > HEAD_LIMIT:
             self.reject(431)
-        self.flush()
 
     def on_message_begin(self) -> None:
         self._url, self._headers, self._body, self._headed = b"", {}, [], False
@@ -242,7 +251,8 @@
         self.begun, self._headed, self._size = None, False, 0
         if self._deaf:
             return
-        keep = self._parser.should_keep_alive()
+        # Behind a request for another protocol no further one of ours can be told.
+        keep = self._parser.should_keep_alive() and not self._parser.should_upgrade()
         self._deaf = not keep
         self._take(keep)
         self._pace()
@@ -284,7 +294,7 @@
     # --- Answering -----------------------------------------------------------------------------
     def flush(self) -> None:
         """Write the answers that are there, in the order of their requests, in one piece."""
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing() or self._reading:
             return
         parts, last = [], False
         while self._calls and (reply := self._calls[0].reply):
@@ -350,12 +360,19 @@
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._listener, self._accept)
 
+    def _pause(self) -> None:
+        if self._accepting:
+            self._accepting = False
+            asyncio.get_running_loop().remove_reader(self._listener)
+
     def _rest(self, seconds: float) -> None:
         """Leave new connections in the backlog for a while; a busy loop over them would help nobody."""
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(self._listener)
-        self._accepting = False
-        loop.call_later(seconds, self.listen)
+        self._pause()
+        asyncio.get_running_loop().call_later(seconds, self.listen)
+
+    def stop_listening(self) -> None:
+        self._pause()
+        self._listener.close()
 
     def _accept(self) -> None:
         for _ in range(ACCEPTS):
@@ -390,8 +407,9 @@
             self.gone(client)
 
     def _make_room(self) -> bool:
-        """Close the connection that has been between requests for longest."""
-        client = next(iter(self.idle), None)
+        """Close the connection that has been between requests for longest; new ones get their turn."""
+        limit = monotonic() - FIRST_S
+        client = next((c for c in self.idle if c.served or c.made < limit), None)
         if client is None:
             return False
         del self.idle[client]
@@ -417,10 +435,8 @@
             if now >= max(start + DRAIN_S, self._last_accept + QUIET_S):
                 break
             await asyncio.sleep(0.01)
-        asyncio.get_running_loop().remove_reader(self._listener)
         self._accept()  # what came since the last turn is taken, too
-        asyncio.get_running_loop().remove_reader(self._listener)
-        self._listener.close()
+        self.stop_listening()
         while self.limiter.open or any(not c.served and c.made > monotonic() - FIRST_S for c in self._open):
             self._close_idle(monotonic())
             await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,298 @@
+"""A limiter on loopback, with scripted servers, a scripted discovery agent and raw clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import uvloop
+
+from ironstage.net.clients import Clients
+from ironstage.net.config import Config
+from ironstage.net.discovery import Watch
+from ironstage.net.limiter import Limiter
+from ironstage.wire import parse_settings
+
+PATIENCE_S = 30.0  # only a hanging test meets it
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 3,
+    "me": 0,
+    "zones": ["hall-a", "hall-b"],
+    "services": [
+        {"name": "read", "aimMs": 5000.0, "hardLimitMs": 5000.0, "effect": "idempotent"},
+        {
+            "name": "upload",
+            "aimMs": 5000.0,
+            "hardLimitMs": 5000.0,
+            "effect": "deduplicated",
+            "windowMs": 5000.0,
+        },
+        {"name": "fix", "aimMs": 5000.0, "hardLimitMs": 5000.0, "effect": "at_most_once"},
+    ],
+    "contracts": [{"name": "basic", "rate": 1000.0, "mostAtOnce": 2000.0}],
+    "guarantees": {
+        "coldFrom": 0.2,
+        "coldMs": 10000.0,
+        "tipMultiple": 2.0,
+        "fallMs": 1000.0,
+        "drainGraceMs": 250.0,
+    },
+    "ceilings": {
+        "maxAttempts": 3,
+        "cancel": True,
+        "connectTimeoutMs": 250.0,
+        "connIdleMs": 30000.0,
+    },
+    "report": {"fields": ["rif", "rate"], "how": "pull"},
+}
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    """Run a test on the loop that the program uses; one that hangs fails."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            await test
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+# --- Servers --------------------------------------------------------------------------------------
+@dataclass(slots=True)
+class Request:
+    """What a server read, and the connection to answer on."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+    writer: asyncio.StreamWriter
+    connection: int
+    ended: asyncio.Event  # the limiter has closed the connection
+
+    def reply(self, status: str = "200 OK", body: bytes = b"", *headers: str) -> None:
+        head = "\r\n".join([f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers, "", ""])
+        self.writer.write(head.encode() + body)
+
+    def reset(self) -> None:
+        self.writer.transport.abort()
+
+    async def closed(self) -> None:
+        await self.ended.wait()
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *rows = head.rstrip("\r\n").split("\r\n")
+    headers = {name.lower(): value for name, value in (row.split(": ", 1) for row in rows)}
+    return line, headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+Script = Callable[[Request], Awaitable[None]]
+
+
+@dataclass
+class Backend:
+    """A server that plays its script for each request; without one, the test answers by hand."""
+
+    script: Script | None = None
+    requests: list[Request] = field(default_factory=list)
+    arrived: asyncio.Queue[Request] = field(default_factory=asyncio.Queue)
+    connections: int = 0
+    address: str = ""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number, ended = self.connections, asyncio.Event()
+        try:
+            while True:
+                request = Request(*await read_message(reader), writer, number, ended)
+                self.requests.append(request)
+                self.arrived.put_nowait(request)
+                if self.script is not None:
+                    await self.script(request)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            ended.set()
+
+
+@contextlib.asynccontextmanager
+async def backend(script: Script | None = None) -> AsyncIterator[Backend]:
+    made = Backend(script)
+    server = await asyncio.start_server(made._serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    made.address = f"{host}:{port}"
+    try:
+        yield made
+    finally:
+        server.close()
+
+
+def unused_address() -> str:
+    """An address at which connections are refused."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+# --- Discovery ------------------------------------------------------------------------------------
+def host(name: str, dial: str, health: str = "active", born_ms: float = 0) -> dict[str, Any]:
+    return {
+        "host": name,
+        "dial": dial,
+        "site": "hall-a",
+        "class": "m2",
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": born_ms,
+    }
+
+
+def listing(seq: int, *hosts: dict[str, Any], whole: bool = True) -> dict[str, Any]:
+    return {"seq": seq, "whole": whole, "hosts": list(hosts)}
+
+
+class Agent:
+    """Discovery's agent: `watches` holds the query of each watch, `tell` writes to the latest."""
+
+    def __init__(self) -> None:
+        self.watches: asyncio.Queue[str] = asyncio.Queue()
+        self.address = ("", 0)
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        line, _, _ = await read_message(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._writer = writer
+        self.watches.put_nowait(line.split(" ")[1])
+
+    def tell(self, line: bytes | dict[str, Any]) -> None:
+        assert self._writer
+        raw = line if isinstance(line, bytes) else json.dumps(line).encode() + b"\n"
+        self._writer.write(b"%x\r\n%s\r\n" % (len(raw), raw))
+
+    def cut(self) -> None:
+        assert self._writer
+        self._writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def agent() -> AsyncIterator[Agent]:
+    made = Agent()
+    server = await asyncio.start_server(made._serve, "127.0.0.1", 0)
+    made.address = server.sockets[0].getsockname()
+    try:
+        yield made
+    finally:
+        server.close()
+
+
+# --- The limiter and its clients ------------------------------------------------------------------
+def config(*hosts: dict[str, Any], discovery: tuple[str, int] = ("127.0.0.1", 1), **changes: Any) -> Config:
+    raw = {**SETTINGS, **changes.pop("settings", {})}
+    values: dict[str, Any] = {
+        "name": "n0",
+        "listen": ("127.0.0.1", 0),
+        "discovery": discovery,
+        "seed": 1,
+        "sockets": 1024,
+        "max_open": 1000,
+        "settings": parse_settings(json.dumps(raw).encode()),
+        "zones": ("hall-a", "hall-b"),
+        "connect_s": 0.25,
+        "idle_s": 30.0,
+        "known": listing(1, *hosts),
+    }
+    return Config(**{**values, **changes})
+
+
+class Rig:
+    def __init__(self, made: Config) -> None:
+        self.limiter = Limiter(made)
+        self.clients = Clients(self.limiter, made.settings, made.listen, 100)
+        self.watch = Watch(made.discovery, self.limiter.listed)
+        self.watch.seq = self.limiter.known_seq
+
+    async def connect(self) -> Client:
+        return Client(*await asyncio.open_connection(*self.clients.address))
+
+
+@contextlib.asynccontextmanager
+async def limiter(*hosts: dict[str, Any], watched: Agent | None = None, **changes: Any) -> AsyncIterator[Rig]:
+    if watched:
+        changes["discovery"] = watched.address
+    rig = Rig(config(*hosts, **changes))
+    rig.clients.listen()
+    task = asyncio.create_task(rig.watch.run()) if watched else None
+    try:
+        yield rig
+    finally:
+        if task:
+            task.cancel()
+        rig.clients.stop_listening()
+        rig.limiter.close()
+
+
+@dataclass(slots=True)
+class Answer:
+    code: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def message(
+    cls: str = "read", ident: str = "9b1f03aa5c7e2d41", body: bytes = b"", **changes: str | None
+) -> bytes:
+    """A request as PROTOCOL words it; `changes` name headers with _ for -, None leaves one out."""
+    headers: dict[str, str | None] = {
+        "Host": "backend.local",
+        "Req-Id": ident,
+        "Req-Kind": cls,
+        "X-Tier": "basic",
+        "X-Api-Key": "00000000b4d65521",
+        "Req-Deadline": "4.0",
+        "X-Call-Terms": "units=1,spread=3,first=1",
+    }
+    if cls == "upload":
+        headers["Idempotency-Key"] = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+    if cls != "read":
+        headers["Content-Length"] = str(len(body))
+    method = changes.pop("method", "GET" if cls == "read" else "POST")
+    path = changes.pop("path", f"/{cls}/7?a=%20b")
+    headers.update({name.replace("_", "-"): value for name, value in changes.items()})
+    rows = [f"{name}: {value}" for name, value in headers.items() if value is not None]
+    return "\r\n".join([f"{method} {path} HTTP/1.1", *rows, "", ""]).encode() + body
+
+
+@dataclass(slots=True)
+class Client:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def send(self, raw: bytes) -> None:
+        self.writer.write(raw)
+
+    async def answer(self) -> Answer:
+        line, headers, body = await read_message(self.reader)
+        return Answer(int(line.split(" ")[1]), headers, body)
+
+    async def ask(self, raw: bytes) -> Answer:
+        self.send(raw)
+        return await self.answer()
+
+    async def closed(self) -> None:
+        assert await self.reader.read() == b""
+
+    def close(self) -> None:
+        self.writer.close()
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,220 @@
+"""The watch on the wire: what it tells, what breaks it and what must not."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+from sockets import Backend, Request, agent, backend, host, limiter, listing, message, run, until
+
+from ironstage.net import discovery
+from ironstage.net.discovery import HostList, Watch, parse_list
+
+
+async def echo(request: Request) -> None:
+    request.reply(body=request.headers["req-id"].encode())
+
+
+def test_drain_told_mid_flight() -> None:
+    """What is out is finished; free connections close, and nothing new goes there."""
+
+    async def test() -> None:
+        async with backend() as one, backend(echo) as two, agent() as watched:
+            a = host("a", one.address)
+            async with limiter(a, watched=watched) as rig:
+                client, other = await rig.connect(), await rig.connect()
+                client.send(message("fix", "first"))
+                held = await one.arrived.get()
+                assert await watched.watches.get() == "/discovery/hosts?follow=1&since=1"
+                watched.tell(
+                    listing(2, host("a", one.address, "leaving"), host("b", two.address), whole=False)
+                )
+                await until(lambda: rig.watch.seq == 2)
+                for n in range(5):
+                    assert (await other.ask(message("fix", f"next-{n}"))).code == 200
+                await echo(held)
+                assert (await client.answer()).body == b"first"
+                await held.closed()
+                assert (len(one.requests), len(two.requests)) == (1, 5)
+
+    run(test())
+
+
+def test_absent_from_a_whole_list() -> None:
+    async def test() -> None:
+        async with backend(echo) as one, backend(echo) as two, agent() as watched:
+            async with limiter(host("a", one.address), watched=watched) as rig:
+                await watched.watches.get()
+                watched.tell(listing(5, host("b", two.address)))
+                await until(lambda: rig.watch.seq == 5)
+                client = await rig.connect()
+                for n in range(4):
+                    assert (await client.ask(message("fix", f"{n}"))).code == 200
+                assert (len(one.requests), len(two.requests)) == (0, 4)
+
+    run(test())
+
+
+def test_watch_cut_and_resumed() -> None:
+    async def test() -> None:
+        async with backend(echo) as one, backend(echo) as two, agent() as watched:
+            async with limiter(host("a", one.address), watched=watched) as rig:
+                await watched.watches.get()
+                watched.tell(listing(3, host("a", one.address), whole=False))
+                await until(lambda: rig.watch.seq == 3)
+                watched.tell(b'{"seq":4,"whole":true,"hosts":[')  # a line that never ends
+                watched.cut()
+                assert await watched.watches.get() == "/discovery/hosts?follow=1&since=3"
+                client = await rig.connect()
+                assert (await client.ask(message("fix", "known"))).code == 200
+                watched.tell(listing(4, host("a", one.address, "left"), host("b", two.address), whole=False))
+                await until(lambda: rig.watch.seq == 4)
+                assert (await client.ask(message("fix", "moved"))).code == 200
+                assert (len(one.requests), len(two.requests)) == (1, 1)
+
+    run(test())
+
+
+def test_silent_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No word within the time of two empty lines: the machine may have vanished."""
+    monkeypatch.setattr(discovery, "SILENCE_S", 0.1)
+
+    async def test() -> None:
+        async with agent() as watched, limiter(watched=watched):
+            for _ in range(3):
+                await watched.watches.get()
+
+    run(test())
+
+
+def test_refused_and_lost_agent() -> None:
+    """Without discovery the list that is known serves on."""
+
+    async def test() -> None:
+        async with backend(echo) as one, limiter(host("a", one.address)) as rig:
+            task = asyncio.create_task(rig.watch.run())
+            client = await rig.connect()
+            for n in range(3):
+                assert (await client.ask(message("fix", f"{n}"))).code == 200
+                await asyncio.sleep(0.06)
+            assert not task.done()
+            task.cancel()
+
+    run(test())
+
+
+A, B = host("a", "127.0.0.1:1"), host("b", "127.0.0.1:2")
+
+
+class Told:
+    """A watch's lines without a socket: what it hands on."""
+
+    def __init__(self) -> None:
+        self.lists: list[HostList] = []
+        self.watch = Watch(("127.0.0.1", 1), self.lists.append)
+
+    def line(self, line: object) -> bool:
+        raw = line if isinstance(line, bytes) else json.dumps(line).encode()
+        return self.watch._line(raw)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"nonsense",
+        b"[1, 2]",
+        b"null",
+        b'{"seq": 9}',
+        b'{"seq": 9, "whole": true, "hosts": null}',
+        b'{"seq": "9", "whole": true, "hosts": []}',
+        b'{"seq": true, "whole": true, "hosts": []}',
+        b'{"whole": true, "hosts": []}',
+        b"[" * 100_000,
+        b'\xff\xfe{"seq": 9}',
+    ],
+)
+def test_malformed_line(line: bytes) -> None:
+    told = Told()
+    assert told.line(listing(3, A, B))
+    assert not told.line(line)  # asked for again
+    assert (len(told.lists), told.watch.seq) == (1, 3)
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"dial": "nowhere"},
+        {"dial": "127.0.0.1:99999"},
+        {"dial": 9},
+        {"health": "merry"},
+        {"health": []},
+        {"born_ms": "NaN"},
+        {"born_ms": 1e999},
+        {"share": None},
+        {"host": ""},
+        {"host": ["a"]},
+    ],
+)
+def test_malformed_entry(wrong: dict[str, object]) -> None:
+    """The others of its list count, but what it leaves out is not gone: it may be that entry."""
+    told = Told()
+    assert not told.line(listing(3, A, {**B, **wrong}))
+    [got] = told.lists
+    assert (got.whole, [entry.name for entry in got.hosts]) == (False, ["a"])
+    assert told.watch.seq == 0
+
+
+def test_repeats_and_stragglers() -> None:
+    told = Told()
+    told.line(listing(3, A, B))
+    for old in (listing(3), listing(2), listing(2, {**A, "health": "left"}, whole=False)):
+        assert told.line(old)
+    assert len(told.lists) == 1
+    told.watch._fresh = True  # a new watch: its first line, when whole, is where discovery stands
+    told.line(listing(1, A))
+    assert (told.watch.seq, len(told.lists)) == (1, 2)
+
+
+def test_left_without_address() -> None:
+    told, sound = parse_list(listing(3, {"host": "a", "health": "left"}, whole=False))
+    assert sound and told.hosts[0].name == "a"
+
+
+def test_start_is_converted_once() -> None:
+    """A start told twice is the same start; else each list would look like a restart."""
+
+    async def test() -> None:
+        async with agent() as watched:
+            born = time.time() * 1000 - 3000
+            async with limiter(host("a", "127.0.0.1:1", born_ms=born), watched=watched) as rig:
+                await watched.watches.get()
+                fleet = rig.limiter._gateway.fleet
+                before = fleet.peers[0]
+                watched.tell(listing(2, host("a", "127.0.0.1:1", born_ms=born)))
+                await until(lambda: rig.watch.seq == 2)
+                assert fleet.peers[0] is before
+                assert 2500 < rig.limiter._now() - before.entry.started_ms < 30_000
+
+    run(test())
+
+
+def test_moved_server() -> None:
+    """A server that comes back at another address is reached there."""
+
+    async def test() -> None:
+        async def send(number: int, server: Backend) -> None:
+            assert (await client.ask(message("fix", f"{number}"))).code == 200
+            assert len(server.requests) == 1
+
+        async with backend(echo) as one, backend(echo) as two, agent() as watched:
+            async with limiter(host("a", one.address), watched=watched) as rig:
+                client = await rig.connect()
+                await watched.watches.get()
+                await send(1, one)
+                watched.tell(listing(2, host("a", two.address), whole=False))
+                await one.requests[0].closed()
+                await send(2, two)
+
+    run(test())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,195 @@
+"""The program as it is run: configuration, signals, descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from sockets import (
+    SETTINGS,
+    Client,
+    Request,
+    backend,
+    host,
+    listing,
+    message,
+    run,
+    unused_address,
+)
+
+from ironstage.net.config import ConfigError, load
+
+ROOT = Path(__file__).parent.parent
+
+
+async def echo(request: Request) -> None:
+    request.reply(body=request.headers["req-id"].encode())
+
+
+class Program:
+    def __init__(self, process: asyncio.subprocess.Process, address: str) -> None:
+        self.process = process
+        self.host, port = address.split(":")
+        self.port = int(port)
+
+    async def connect(self) -> Client:
+        return Client(*await asyncio.open_connection(self.host, self.port))
+
+    async def up(self) -> None:
+        while True:
+            with contextlib.suppress(ConnectionError):
+                client = await self.connect()
+                answer = await client.ask(b"GET /up HTTP/1.1\r\n\r\n")
+                client.close()
+                if answer.code == 200:
+                    return
+            await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def program(
+    path: Path, *hosts: dict[str, Any], limit: Callable[[], None] | None = None
+) -> AsyncIterator[Program]:
+    address, file = unused_address(), path / "config.json"
+    raw = {
+        "name": "n3",
+        "listen": address,
+        "discovery": unused_address(),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": listing(1, *hosts),
+        "settings": SETTINGS,
+    }
+    file.write_text(json.dumps(raw))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "ironstage",
+        cwd=ROOT,
+        env={**os.environ, "GW_CONFIG": str(file)},
+        preexec_fn=limit,
+    )
+    made = Program(process, address)
+    try:
+        await made.up()
+        yield made
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_work_in_hand_at_the_end(tmp_path: Path, number: signal.Signals) -> None:
+    """What was taken is finished, connections still come for a while, and the exit is clean."""
+
+    async def test() -> None:
+        async with backend() as server, program(tmp_path, host("a", server.address)) as made:
+            idle, busy = await made.connect(), await made.connect()
+            assert (await idle.ask(b"GET /up HTTP/1.1\r\n\r\n")).code == 200
+            busy.send(message("fix", "taken"))
+            taken = await server.arrived.get()
+            made.process.send_signal(number)
+            await idle.closed()
+            late = await made.connect()
+            late.send(b"GET /up HTTP/1.1\r\n\r\n" + message("fix", "late"))
+            came = await server.arrived.get()
+            await echo(came)
+            answer = await late.answer()
+            assert (answer.code, answer.headers.get("connection")) == (503, None)
+            answer = await late.answer()
+            assert (answer.body, answer.headers["connection"]) == (b"late", "close")
+            await late.closed()
+            await echo(taken)
+            answer = await busy.answer()
+            assert (answer.body, answer.headers["connection"]) == (b"taken", "close")
+            assert await made.process.wait() == 0
+
+    run(test())
+
+
+def test_descriptors_exhausted(tmp_path: Path) -> None:
+    """Connections for which there is no descriptor wait; the limiter serves on and takes them later."""
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (48, 48))
+
+    async def test() -> None:
+        async with (
+            backend() as server,
+            program(tmp_path, host("a", server.address), limit=limit) as made,
+        ):
+            first = await made.connect()
+            first.send(message("fix", "in-hand"))
+            held = await server.arrived.get()
+            # Each has begun a request, so that none is idle and may give way.
+            crowd = [await made.connect() for _ in range(80)]
+            for client in crowd:
+                client.send(message("fix")[:10])
+            await asyncio.sleep(0.2)
+            await echo(held)
+            assert (await first.answer()).body == b"in-hand"
+            server.script = echo
+            waiting = crowd.pop()
+            for client in crowd:
+                client.close()
+            waiting.send(message("fix", "waited")[10:])
+            assert (await waiting.answer()).body == b"waited"
+            made.process.send_signal(signal.SIGTERM)
+            assert await made.process.wait() == 0
+
+    run(test())
+
+
+GOOD: dict[str, Any] = {
+    "name": "n3",
+    "listen": "127.0.0.1:9000",
+    "discovery": "127.0.0.1:8500",
+    "seed": "ff",
+    "limits": {"sockets": 512},
+    "settings": SETTINGS,
+}
+
+
+def test_configuration(tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD))
+    got = load({"GW_CONFIG": str(file), "GW_NAME": "n4", "GW_LISTEN": "[::1]:9001"})
+    assert (got.name, got.listen, got.discovery) == ("n4", ("::1", 9001), ("127.0.0.1", 8500))
+    assert (got.seed, got.sockets, got.connect_s, got.idle_s) == (255, 512, 0.25, 30.0)
+    assert got.settings.classes[2].name == "fix" and got.zones == ("hall-a", "hall-b")
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"listen": "nowhere"},
+        {"listen": "127.0.0.1:http"},
+        {"discovery": None},
+        {"seed": "xyz"},
+        {"limits": {"sockets": "many"}},
+        {"limits": {"sockets": 0}},
+        {"limits": []},
+        {"settings": {}},
+    ],
+)
+def test_wrong_configuration(tmp_path: Path, wrong: dict[str, Any]) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({**GOOD, **wrong}))
+    with pytest.raises(ConfigError):
+        load({"GW_CONFIG": str(file)})
+
+
+def test_no_configuration(tmp_path: Path) -> None:
+    for environ in ({}, {"GW_CONFIG": str(tmp_path / "none")}):
+        with pytest.raises(ConfigError):
+            load(environ)
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,383 @@
+"""The outcome table on the wire: an unsafe request goes out again only where it surely never ran."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import pytest
+from sockets import Backend, Request, backend, host, limiter, message, run, until, unused_address
+
+from ironstage.interface import Status
+from ironstage.net.servers import Reply, Servers
+
+DECLINED = "Srv-Declined: 1"
+
+
+async def ask_once(server: Backend, cls: str = "fix", **headers: str) -> tuple[int, int, bytes]:
+    """The answer to one request, and how often the server got it."""
+    async with limiter(host("a", server.address)) as rig:
+        client = await rig.connect()
+        answer = await client.ask(message(cls, **headers))
+        return answer.code, len(server.requests), answer.body
+
+
+@pytest.mark.parametrize(
+    ("status", "header", "code", "tries"),
+    [
+        ("200 OK", "X-Other: 1", 200, 1),
+        ("500 Internal Server Error", "X-Other: 1", 502, 1),
+        ("503 Service Unavailable", DECLINED, 429, 3),
+        ("504 Gateway Timeout", DECLINED, 429, 3),
+        ("503 Service Unavailable", "X-Other: 1", 502, 1),
+        ("504 Gateway Timeout", "Srv-Declined: 0", 502, 1),
+        ("500 Internal Server Error", DECLINED, 502, 1),
+        ("404 Not Found", "X-Other: 1", 502, 1),
+    ],
+)
+def test_answers(status: str, header: str, code: int, tries: int) -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.reply(status, b"body", header)
+
+        async with backend(script) as server:
+            got = await ask_once(server)
+        assert got == (code, tries, b"body" if code == 200 else b"")
+
+    run(test())
+
+
+def test_what_goes_on() -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.reply(body=b"\x00\xff" * 30000)
+
+        async with backend(script) as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            answer = await client.ask(message("upload", "id-7", b"\x00payload\xff"))
+            assert answer.body == b"\x00\xff" * 30000
+            [got] = server.requests
+            assert got.line == "POST /upload/7?a=%20b HTTP/1.1"
+            assert got.body == b"\x00payload\xff"
+            assert got.headers["req-id"] == "id-7"
+            assert got.headers["idempotency-key"] == "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+            assert 0 < float(got.headers["req-deadline"]) <= 4.0
+
+    run(test())
+
+
+def test_refused_connection() -> None:
+    async def test() -> None:
+        async with limiter(host("a", unused_address())) as rig:
+            client = await rig.connect()
+            assert (await client.ask(message("fix"))).code == 429
+
+    run(test())
+
+
+@contextlib.contextmanager
+def deaf_listener() -> Iterator[str]:
+    """An address at which connections never come up: its backlog is full."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(listener.getsockname())
+        host, port = listener.getsockname()
+        yield f"{host}:{port}"
+
+
+def test_connection_that_never_comes_up() -> None:
+    async def test() -> None:
+        with deaf_listener() as address:
+            async with limiter(host("a", address)) as rig:
+                client = await rig.connect()
+                assert (await client.ask(message("fix"))).code == 429
+
+    run(test())
+
+
+def test_time_out_before_the_connection_is_up() -> None:
+    async def test() -> None:
+        with deaf_listener() as address:
+            async with limiter(host("a", address), connect_s=20.0) as rig:
+                client = await rig.connect()
+                assert (await client.ask(message("fix", Req_Deadline="0.2"))).code == 429
+
+    run(test())
+
+
+def test_break_after_the_last_byte() -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.reset()
+
+        async with backend(script) as server:
+            assert (await ask_once(server))[:2] == (502, 1)
+
+    run(test())
+
+
+def test_answer_cut_short() -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+            request.writer.close()
+
+        async with backend(script) as server:
+            assert await ask_once(server) == (502, 1, b"")
+
+    run(test())
+
+
+def test_answer_that_is_no_http() -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.writer.write(b"\x00\x01\x02 nonsense\r\n\r\n")
+
+        async with backend(script) as server:
+            assert await ask_once(server) == (502, 1, b"")
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\nX-Early: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 500 X\r\nContent-Length: 1\r\n\r\nx",
+    ],
+    ids=["until the end", "chunked", "interim answer", "bytes behind it"],
+)
+def test_framing(raw: bytes) -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.writer.write(raw)
+            if b"close" in raw:
+                request.writer.close()
+
+        async with backend(script) as server:
+            assert await ask_once(server) == (200, 1, b"whole")
+
+    run(test())
+
+
+def test_answer_too_large() -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.reply(body=b"x" * 200_000)
+
+        async with backend(script) as server:
+            assert await ask_once(server) == (502, 1, b"")
+
+    run(test())
+
+
+def test_silent_server() -> None:
+    """Its attempt ends in time, its connection is closed, and the client hears before it gives up."""
+
+    async def test() -> None:
+        async with backend() as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            client.send(message("fix", Req_Deadline="0.3"))
+            request = await server.arrived.get()
+            assert (await client.answer()).code == 502
+            await request.closed()
+            assert len(server.requests) == 1
+
+    run(test())
+
+
+async def outcome(servers: Servers, number: int, raw: bytes, seconds: float = 20.0) -> Reply:
+    loop = asyncio.get_running_loop()
+    ended: asyncio.Future[Reply] = loop.create_future()
+    servers.send(number, raw, loop.time() + seconds, ended.set_result)
+    return await ended
+
+
+class Listener:
+    """A server's side by hand: plain sockets, so that the test decides what the kernel holds."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.socket.setblocking(False)
+        self.address: tuple[str, int] = self.socket.getsockname()
+
+    async def accept(self) -> socket.socket:
+        return (await asyncio.get_running_loop().sock_accept(self.socket))[0]
+
+
+REQUEST = b"POST /fix HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize("timed_out", [False, True], ids=["broken", "timed out"])
+def test_before_the_last_byte(timed_out: bool) -> None:
+    """What the socket could not take whole never ran, however it ends."""
+
+    async def test() -> None:
+        listener, servers = Listener(), Servers(10, 1.0, 30.0)
+        servers.place(1, listener.address, True)
+        large = b"POST /fix HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000
+        task = asyncio.create_task(outcome(servers, 1, large, 0.3 if timed_out else 20.0))
+        peer = await listener.accept()
+        await asyncio.get_running_loop().sock_recv(peer, 100)
+        if not timed_out:
+            peer.close()
+        assert (await task).status is Status.CONNECT_FAILED
+
+    run(test())
+
+
+def test_kept_connection_closed_unnoticed() -> None:
+    """The server has closed but the loop has not heard: the request goes over a new connection."""
+
+    async def test() -> None:
+        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        servers.place(1, listener.address, True)
+        first = asyncio.create_task(outcome(servers, 1, REQUEST))
+        peer = await listener.accept()
+        await loop.sock_recv(peer, 100)
+        peer.send(OK)
+        assert (await first).status is Status.OK
+        peer.close()
+        ended: asyncio.Future[Reply] = loop.create_future()
+        servers.send(1, REQUEST, loop.time() + 20, ended.set_result)  # no turn of the loop between
+        peer = await listener.accept()
+        assert await loop.sock_recv(peer, 100) == REQUEST
+        peer.send(OK)
+        assert (await ended).status is Status.OK
+
+    run(test())
+
+
+def test_stale_kept_connection() -> None:
+    """A request that crosses the close is reported, never sent again: it may have run."""
+
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            if len(server.requests) == 1:
+                request.reply(body=b"first")
+            else:
+                request.reset()
+
+        async with backend(script) as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            assert (await client.ask(message("fix", "one"))).code == 200
+            assert (await client.ask(message("fix", "two"))).code == 502
+            assert [request.connection for request in server.requests] == [1, 1]
+
+    run(test())
+
+
+def test_bytes_on_a_free_connection() -> None:
+    """An answer to nothing must not become the answer to the next request."""
+
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.reply(body=b"own")
+            if len(server.requests) == 1:
+                await request.writer.drain()
+                request.reply(body=b"stray")
+
+        async with backend(script) as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            assert (await client.ask(message("fix", "one"))).body == b"own"
+            await server.requests[0].closed()
+            assert (await client.ask(message("fix", "two"))).body == b"own"
+            assert server.requests[1].connection == 2
+
+    run(test())
+
+
+def test_given_up_before_the_next_attempt() -> None:
+    """The server sees the first attempt's connection end before a second copy can reach it."""
+
+    async def test() -> None:
+        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        servers.place(1, listener.address, True)
+        ended: asyncio.Future[Reply] = loop.create_future()
+        attempt = servers.send(1, REQUEST, loop.time() + 20, ended.set_result)
+        peer = await listener.accept()
+        await loop.sock_recv(peer, 100)
+        attempt.cancel()
+        assert peer.recv(1) == b""  # at once, without a turn of the loop
+        assert (await ended).status is Status.CANCELLED
+
+    run(test())
+
+
+def test_latest_used_first_and_idle_dropped() -> None:
+    async def test() -> None:
+        async with backend() as server:
+            servers = Servers(10, 1.0, 0.2)
+            dial, port = server.address.split(":")
+            servers.place(1, (dial, int(port)), True)
+            tasks = [asyncio.create_task(outcome(servers, 1, REQUEST)) for _ in range(2)]
+            held = [await server.arrived.get() for _ in tasks]
+            held[0].reply()
+            held[1].reply()
+            await asyncio.gather(*tasks)
+            servers.sweep()
+            assert server.connections == 2
+            closed = [asyncio.create_task(request.closed()) for request in held]
+            while not all(task.done() for task in closed):
+                servers.sweep()
+                await asyncio.sleep(0.01)
+
+    run(test())
+
+
+def test_bound_on_connections() -> None:
+    """At the bound a free connection of another server makes room; without one the attempt fails."""
+
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.reply()
+
+        async with backend(script) as one, backend() as two:
+            servers = Servers(1, 1.0, 30.0)
+            for number, server in enumerate((one, two)):
+                name, port = server.address.split(":")
+                servers.place(number, (name, int(port)), True)
+            assert (await outcome(servers, 0, REQUEST)).status is Status.OK
+            task = asyncio.create_task(outcome(servers, 1, REQUEST))
+            await one.requests[0].closed()
+            held = await two.arrived.get()
+            assert (await outcome(servers, 0, REQUEST)).status is Status.CONNECT_FAILED
+            held.reply()
+            assert (await task).status is Status.OK
+
+    run(test())
+
+
+def test_probe_and_usage() -> None:
+    """The metered use and a load report come with the reply; nonsense in their place says nothing."""
+
+    async def test() -> None:
+        headers = iter(
+            [["X-RateLimit-Used: 85", 'Srv-Load: {"inflight":7,"qps":3}'], ["X-RateLimit-Used: many"]]
+        )
+
+        async def script(request: Request) -> None:
+            request.reply("200 OK", b"", *next(headers))
+
+        async with backend(script) as server:
+            servers = Servers(10, 1.0, 30.0)
+            name, port = server.address.split(":")
+            servers.place(1, (name, int(port)), True)
+            reply = await outcome(servers, 1, REQUEST)
+            assert (reply.usage, reply.load) == (85, b'{"inflight":7,"qps":3}')
+            reply = await outcome(servers, 1, REQUEST)
+            assert (reply.usage, reply.load) == (None, b"")
+            await until(lambda: server.connections == 1)
+
+    run(test())
