--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -387,15 +387,40 @@
     async def test() -> None:
         async with backend(echo) as server, limiter(host("a", server.address)) as rig:
             client = await rig.connect()
-            client.send(message(ident="one") + b"\r\n")
-            assert (await client.answer()).body == b"one"
+            assert (await client.ask(message(ident="one"))).body == b"one"
             [connection] = rig.clients._open
+            client.send(b"\r\n")
+            other = await rig.connect()  # while it is served the empty line is read
+            assert (await other.ask(message(ident="other"))).body == b"other"
             assert connection.begun is None and connection in rig.clients.idle
             assert (await client.ask(message(ident="two"))).body == b"two"
 
     run(test())
 
 
+def test_half_read_request_in_a_drain(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A kept connection whose next request has begun to come is not closed under it."""
+    monkeypatch.setattr(clients, "DRAIN_S", 0.05)
+    monkeypatch.setattr(clients, "FIRST_S", 60.0)
+
+    async def test() -> None:
+        async with backend(echo) as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            assert (await client.ask(message(ident="one"))).body == b"one"
+            client.send(message(ident="two")[:-2])
+            await until(lambda: not rig.clients.idle)
+            drain = asyncio.create_task(rig.clients.drain())
+            await until(lambda: rig.clients._listener.fileno() < 0)
+            for _ in range(5):  # turns of the drain
+                await asyncio.sleep(0.01)
+            client.send(b"\r\n")
+            answer = await client.answer()
+            assert (answer.body, answer.headers["connection"]) == (b"two", "close")
+            await drain
+
+    run(test())
+
+
 def test_stalled_request() -> None:
     """A request that never comes whole gives its socket back."""
 
