Reload: SIGHUP moves the watch instead of ending the process

To blame: __main__.serve installs handlers for SIGTERM and SIGINT only, so the default action ends the process.

Mend: _reload in __main__ reads the file again (config.reload_discovery, where the file stands above the variable, which is as old as the start) and Watch.move takes up the new agent at once, out of a connect or a backoff too. Versions begin anew there (since=0); the known list serves on. An unreadable file changes nothing and is told in the log.

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -28,6 +28,17 @@
         clients.sweep()
 
 
+def _reload(watch: Watch) -> None:
+    """Take up the replaced file; one that can't be read leaves all as it is."""
+    try:
+        address = configuration.reload_discovery(os.environ)
+    except configuration.ConfigError as error:
+        log.error("the configuration stays as it was: %s", error)
+        return
+    log.info("discovery is at %s:%d", *address)
+    watch.move(address)
+
+
 async def serve(config: configuration.Config) -> None:
     """Serve until told to end, then finish what was taken."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
@@ -38,6 +49,7 @@
     clients = Clients(limiter, config.settings, config.listen, most)
     watch = Watch(config.discovery, limiter.listed)
     watch.seq = limiter.known_seq
+    loop.add_signal_handler(signal.SIGHUP, _reload, watch)
     tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
     clients.listen()
     log.info("%s listens at %s:%d", config.name, *clients.address)
--- a/ironstage/net/config.py
+++ b/ironstage/net/config.py
@@ -68,8 +68,7 @@
         raise ConfigError(f"seed is not a hexadecimal number: {text!r}") from None
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """The configuration; the variables stand above the file's entries of the same meaning."""
+def _read(environ: Mapping[str, str]) -> dict[str, Any]:
     path = environ.get("GW_CONFIG")
     if not path:
         raise ConfigError("GW_CONFIG is not set")
@@ -80,6 +79,17 @@
         raise ConfigError(f"{path}: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
+    return raw
+
+
+def reload_discovery(environ: Mapping[str, str]) -> Address:
+    """Where a replaced file puts discovery. The variable is as old as the start and no longer counts."""
+    return parse_address(_read(environ).get("discovery"))
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration; the variables stand above the file's entries of the same meaning."""
+    raw = _read(environ)
     settings, limits = _object(raw, "settings"), _object(raw, "limits")
     ceilings = _object(settings, "ceilings")
     try:
--- a/ironstage/net/discovery.py
+++ b/ironstage/net/discovery.py
@@ -147,19 +147,35 @@
         self._address = address
         self._on_list = on_list
         self._fresh = True
+        self._turn: asyncio.Timeout | None = None
         self.seq = 0
 
+    def move(self, address: Address) -> None:
+        """Follow another agent at once; what the last one told stays known."""
+        if address != self._address:
+            self._address = address
+            if self._turn:
+                self._turn.reschedule(asyncio.get_running_loop().time())
+
     async def run(self) -> None:
         """Watch for ever; each break is followed by a new watch from the last version read."""
-        wait, longest = BACKOFF_S
+        first, longest = BACKOFF_S
+        wait = first
         while True:
             before = self.seq
             try:
-                await self._follow()
-            except (OSError, TimeoutError) as error:
-                log.warning("discovery: %r", error)
-            wait = BACKOFF_S[0] if self.seq != before else min(longest, wait * 2)
-            await asyncio.sleep(wait)
+                async with asyncio.timeout(None) as self._turn:
+                    await self._try()
+                    wait = first if self.seq != before else min(longest, wait * 2)
+                    await asyncio.sleep(wait)
+            except TimeoutError:  # moved: the new agent counts its versions from where it likes
+                self.seq, wait = 0, first
+
+    async def _try(self) -> None:
+        try:
+            await self._follow()
+        except (OSError, TimeoutError) as error:
+            log.warning("discovery: %r", error)
 
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -220,3 +220,39 @@
                 await send(2, two)
 
     run(test())
+
+
+def test_moved_agent() -> None:
+    """The watch moves at once, the known list serves on, and versions that begin anew count."""
+
+    async def test() -> None:
+        async with backend(echo) as one, backend(echo) as two, agent() as old, agent() as new:
+            async with limiter(host("a", one.address), watched=old) as rig:
+                await old.watches.get()
+                old.tell(listing(41, host("a", one.address)))
+                await until(lambda: rig.watch.seq == 41)
+                rig.watch.move(new.address)
+                assert await new.watches.get() == "/discovery/hosts?follow=1&since=0"
+                client = await rig.connect()
+                assert (await client.ask(message("fix", "known"))).code == 200
+                new.tell(listing(2, host("a", one.address, "leaving"), host("b", two.address)))
+                await until(lambda: rig.watch.seq == 2)
+                assert (await client.ask(message("fix", "moved"))).code == 200
+                assert (len(one.requests), len(two.requests)) == (1, 1)
+
+    run(test())
+
+
+def test_moved_while_none_answers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A watch that waits before its next try moves without waiting any longer."""
+    monkeypatch.setattr(discovery, "BACKOFF_S", (60.0, 60.0))
+
+    async def test() -> None:
+        async with agent() as new, limiter() as rig:
+            task = asyncio.create_task(rig.watch.run())
+            await asyncio.sleep(0.05)
+            rig.watch.move(new.address)
+            await new.watches.get()
+            task.cancel()
+
+    run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,6 +18,7 @@
     SETTINGS,
     Client,
     Request,
+    agent,
     backend,
     host,
     listing,
@@ -37,9 +38,10 @@
 
 
 class Program:
-    def __init__(self, process: asyncio.subprocess.Process, address: str) -> None:
+    def __init__(self, process: asyncio.subprocess.Process, address: str, file: Path) -> None:
         self.process = process
         self.host, port = address.split(":")
+        self.file = file
         self.port = int(port)
 
     async def connect(self) -> Client:
@@ -61,7 +63,7 @@
     path: Path, *hosts: dict[str, Any], limit: Callable[[], None] | None = None
 ) -> AsyncIterator[Program]:
     address, file = unused_address(), path / "config.json"
-    raw = {
+    raw: dict[str, Any] = {
         "name": "n3",
         "listen": address,
         "discovery": unused_address(),
@@ -76,11 +78,11 @@
         "-m",
         "ironstage",
         cwd=ROOT,
-        env={**os.environ, "GW_CONFIG": str(file)},
+        env={**os.environ, "GW_CONFIG": str(file), "GW_DISCOVERY": raw["discovery"]},
         preexec_fn=limit,
         stderr=(path / "log").open("wb"),
     )
-    made = Program(process, address)
+    made = Program(process, address, file)
     try:
         await made.up()
         yield made
@@ -164,6 +166,34 @@
     run(test())
 
 
+def test_reload(tmp_path: Path) -> None:
+    """SIGHUP moves the watch to where the replaced file puts it; an unreadable file changes nothing."""
+
+    async def test() -> None:
+        async with (
+            backend(echo) as server,
+            agent() as old,
+            agent() as new,
+            program(tmp_path, host("a", server.address)) as made,
+        ):
+            log, good = tmp_path / "log", json.loads(made.file.read_text())
+            for text in ("{", "[]", json.dumps({**good, "discovery": "nowhere"})):
+                said = log.read_text().count("the configuration stays")
+                made.file.write_text(text)
+                made.process.send_signal(signal.SIGHUP)
+                await until(lambda said=said: log.read_text().count("the configuration stays") > said)  # type: ignore[misc]
+            for watched in (old, new):
+                made.file.write_text(json.dumps({**good, "discovery": "{}:{}".format(*watched.address)}))
+                made.process.send_signal(signal.SIGHUP)
+                await watched.watches.get()
+            client = await made.connect()
+            assert (await client.ask(message("fix", "on"))).body == b"on"
+            made.process.send_signal(signal.SIGTERM)
+            assert await made.process.wait() == 0
+
+    run(test())
+
+
 GOOD: dict[str, Any] = {
     "name": "n3",
     "listen": "127.0.0.1:9000",
