Bad servers and bad clients: spoilt answers, trusted fields, silent connections

Ruled out: late second copies and undetected spoilt answers (0 in 3,500). The loss was elsewhere: _Connection._break told every spoilt answer as a reset, on which Fleet.heard shuns a server that works for 1 to 8 s. By reading and small tests: a head was bounded at 80 KiB and a body counted twice when it came with its head; an answer without a length was served at the end of its connection, also cut short; use was taken from any float, load of any size or sign; clients' numbers from any float (1_0, 1e300), sets beyond the number of limiters, units beyond most_units, repeated headers, the id of an open request (a second copy at a server). Silent connections were never ended and half requests after 10 s.

Mends: servers.py _spoil ends such an attempt as an error (may have run), at the head where the length tells; limiter.py refuses the name of an open request (409) and absurd load figures; clients.py checks what it trusts before the module sees it, ends silent and half requests within 2 s of connecting and lets the slowest half request give way at the bound. Servers that are gone are forgotten by limiter, sockets and module; their numbers are never used again.

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -18,7 +18,7 @@
 
 log = logging.getLogger("ironstage")
 
-SWEEP_S = 1.0
+SWEEP_S = 0.25
 
 
 async def _sweep(limiter: Limiter, clients: Clients) -> None:
--- a/ironstage/interface.py
+++ b/ironstage/interface.py
@@ -110,6 +110,7 @@
     advice_ms: float
     must_subscribe: bool
     report_fields: tuple[str, ...]
+    most_units: float = 0.0  # that one request takes; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -324,7 +324,7 @@
 @dataclass(slots=True)
 class Attempt:
     number: int
-    server: int
+    server: api.Server  # as it was then: it may be forgotten before the request is
     sent: float
     out: bool = True
     may_have_run: bool = True
@@ -380,6 +380,11 @@
                 self.peers[entry.id] = Peer(entry, now, waiting=waiting, allowance=self.rng.random())
             else:
                 peer.entry = entry
+        self.peers = {
+            ident: peer
+            for ident, peer in self.peers.items()
+            if peer.entry.state is not ServerState.GONE or peer.waiting > 0
+        }
         self.ready = [peer for peer in self.peers.values() if peer.entry.state is ServerState.READY]
         self.suspects = {peer.entry.id: peer for peer in self.ready if peer.suspect}
 
@@ -438,6 +443,10 @@
         if (peer := self.peers.get(event.server)) is None:
             return
         peer.waiting -= 1
+        if peer.entry.state is ServerState.GONE:
+            if peer.waiting <= 0:
+                del self.peers[event.server]
+            return
         if event.status in (Status.OK, Status.ERROR, Status.FULL):
             self.clear(peer, now)
             self.missed.pop(peer.entry.zone, None)
@@ -587,11 +596,10 @@
             return False
         return all(self._same_group(request.cls.scope, attempt.server, peer) for attempt in ran)
 
-    def _same_group(self, scope: Scope, server: int, peer: Peer) -> bool:
+    def _same_group(self, scope: Scope, server: api.Server, peer: Peer) -> bool:
         if scope is Scope.ALL:
             return True
-        other = self.fleet.peers[server].entry
-        return other.zone == peer.entry.zone if scope is Scope.ZONE else other.cell == peer.entry.cell
+        return server.zone == peer.entry.zone if scope is Scope.ZONE else server.cell == peer.entry.cell
 
     def _send(self, now: float, request: Request, avoid: set[int]) -> bool:
         """The one place that sends: every rule on sending is checked here."""
@@ -606,7 +614,7 @@
         peer = self.fleet.choose(now, lambda p: self._may_repeat(request, p, now), avoid)
         if peer is None:
             return False
-        attempt = Attempt(len(request.attempts), peer.entry.id, now)
+        attempt = Attempt(len(request.attempts), peer.entry, now)
         request.attempts.append(attempt)
         peer.waiting += 1
         peer.allowance -= 1.0
@@ -684,7 +692,7 @@
             request.open = False
             self._cancel(request)
         elif request.open and not request.outstanding():
-            tried = {a.server for a in request.attempts}
+            tried = {a.server.id for a in request.attempts}
             if event.status is Status.MOOT or not self._send(now, request, tried):
                 self._answer(now, request)
         self._forget(request)
--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -26,7 +26,7 @@
 PIPELINED = 4  # requests read ahead on a connection; further ones stay in the socket
 ACCEPTS = 64  # connections taken at a time, so that those that are open get their turn
 ACCEPT_AGAIN_S = 0.05  # after the descriptors ran out
-STALL_S = 10.0  # a request that takes longer to come is given up
+STALL_S = 2.0  # for a request to come whole, the first one from the connecting on; more is given up
 LINGER_S = 1.0  # how long a refused sender may go on before its connection is cut
 DRAIN_S = 0.45  # after SIGTERM new connections come for 0.4 s at the most
 QUIET_S = 0.1  # and the last of them shall be so old before nobody listens any more
@@ -36,8 +36,24 @@
 
 CUSTOMER = re.compile(rb"[0-9A-Fa-f]{16}")
 REQ_ID = re.compile(rb"[!-~]{1,128}")
+DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+WHOLE = re.compile(rb"[0-9]{1,5}")
 FIRST_PART = re.compile(rb"/([^/?#]*)")
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# Where one of these comes twice and differs, another reader may go by the other one.
+SINGLE = frozenset(
+    [
+        b"content-length",
+        b"idempotency-key",
+        b"req-deadline",
+        b"req-id",
+        b"req-kind",
+        b"transfer-encoding",
+        b"x-api-key",
+        b"x-call-terms",
+        b"x-tier",
+    ]
+)
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -77,6 +93,8 @@
     def __init__(self, settings: Settings) -> None:
         self._classes = {c.name.encode(): (n, c.effect) for n, c in enumerate(settings.classes)}
         self._plans = {plan.name.encode(): n for n, plan in enumerate(settings.plans)}
+        self._gateways = settings.gateways
+        self._most_units = settings.most_units or math.inf
 
     def terms(self, method: bytes, url: bytes, headers: dict[bytes, bytes], body: bool) -> Terms:
         path = FIRST_PART.match(url)
@@ -86,7 +104,8 @@
             raise BadRequestError(400, "Req-Kind is not the class in the path")
         cls, effect = self._classes[path[1]]
         self._method(method, effect, headers, body)
-        if not REQ_ID.fullmatch(headers.get(b"req-id", b"")):
+        name = headers.get(b"req-id", b"")
+        if not REQ_ID.fullmatch(name):
             raise BadRequestError(400, "Req-Id is missing or wrong")
         plan, key = self._plans.get(headers.get(b"x-tier", b"")), headers.get(b"x-api-key", b"")
         if plan is None:
@@ -94,8 +113,8 @@
         if not CUSTOMER.fullmatch(key) or (customer := int(key, 16)) >= 1 << 33:
             raise BadRequestError(400, "X-Api-Key is missing or names no customer")
         wait = _number(headers.get(b"req-deadline", b""), "Req-Deadline")
-        units, doors = _call_terms(headers.get(b"x-call-terms", b""))
-        return Terms(cls, plan, customer, units, doors, wait)
+        units, doors = self._call_terms(headers.get(b"x-call-terms", b""))
+        return Terms(name, cls, plan, customer, units, doors, wait)
 
     def _method(self, method: bytes, effect: Effect, headers: dict[bytes, bytes], body: bool) -> None:
         if method != (b"GET" if effect is Effect.SAFE else b"POST"):
@@ -105,27 +124,33 @@
         if (effect is Effect.KEYED) != bool(headers.get(b"idempotency-key")):
             raise BadRequestError(400, "Idempotency-Key is missing, or not of this class")
 
+    def _call_terms(self, raw: bytes) -> tuple[float, int]:
+        """The units, and how many limiters the customer comes through.
+
+        What is out of range is turned down here: in the module it would bind the customer it names.
+        """
+        pairs = [part.strip().partition(b"=")[::2] for part in raw.split(b",")]
+        told = dict(pairs)
+        if len(told) < len(pairs):
+            raise BadRequestError(400, "X-Call-Terms tells something twice")
+        units = _number(told.get(b"units", b""), "units in X-Call-Terms")
+        spread, first = told.get(b"spread", b""), told.get(b"first", b"")
+        if units > self._most_units:
+            raise BadRequestError(400, "more units than a request can take")
+        if not (WHOLE.fullmatch(spread) and WHOLE.fullmatch(first)):
+            raise BadRequestError(400, "spread or first in X-Call-Terms is missing or wrong")
+        if not (0 < int(spread) <= self._gateways and int(first) < self._gateways):
+            raise BadRequestError(400, "spread or first in X-Call-Terms is out of range")
+        return units, int(spread)
+
 
 def _number(raw: bytes, name: str) -> float:
-    try:
-        value = float(raw)
-    except ValueError:
-        value = math.nan
-    if not (math.isfinite(value) and value > 0):
+    value = float(raw) if DECIMAL.fullmatch(raw) else 0.0
+    if value <= 0:
         raise BadRequestError(400, f"{name} is not a number above 0")
     return value
 
 
-def _call_terms(raw: bytes) -> tuple[float, int]:
-    """The units, and how many limiters the customer comes through."""
-    pairs = dict(part.strip().partition(b"=")[::2] for part in raw.split(b","))
-    units = _number(pairs.get(b"units", b""), "units in X-Call-Terms")
-    spread, first = pairs.get(b"spread", b""), pairs.get(b"first", b"")
-    if not (spread.isdigit() and first.isdigit() and 0 < int(spread[:9]) < 1 << 16):
-        raise BadRequestError(400, "spread or first in X-Call-Terms is missing or wrong")
-    return units, int(spread)
-
-
 class _Client(asyncio.Protocol):
     """One connection of a client."""
 
@@ -147,6 +172,7 @@
         self.begun: float | None = None  # since when a request is coming in
         self.made = monotonic()
         self.served = False
+        self.taken = False  # a whole request has come
 
     # --- Connection ----------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -184,10 +210,20 @@
         if self._transport:
             self._transport.close()
 
+    def cut(self) -> None:
+        """Close without waiting for a sender that is still at it, once what is due is answered."""
+        if self._transport and not self._calls:
+            self._transport.close()
+
     def due(self, since: float) -> bool:
         """Whether a request may be on its way: the connection is new, or its bytes have begun to come."""
         return (not self.served and self.made > since) or (self.begun is not None and self.begun > since)
 
+    def stalled(self, limit: float) -> bool:
+        """Whether a request, or any word on a new connection, has been awaited since before the limit."""
+        since = self.begun if self.taken else self.made
+        return since is not None and since < limit and not self._deaf and not self._paused
+
     @property
     def idle(self) -> bool:
         return not self._calls and self.begun is None
@@ -219,6 +255,7 @@
         # Not with the first bytes: an empty line behind a request is the start of none.
         self.begun = monotonic()
         self._clients.idle.pop(self, None)
+        self._clients.coming[self] = None
         self._url, self._headers, self._body, self._headed = b"", {}, [], False
 
     def on_url(self, url: bytes) -> None:
@@ -226,7 +263,10 @@
         self._bound(len(self._url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.lower()] = value.strip()
+        name, value = name.lower(), value.strip()
+        if name in SINGLE and self._headers.get(name, value) != value:
+            self.reject(400)
+        self._headers[name] = value
         self._bound(len(name) + len(value))
 
     def _bound(self, size: int) -> None:
@@ -236,7 +276,11 @@
     def on_headers_complete(self) -> None:
         self._headed, self._size = True, 0
         length = self._headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length[:9]) > BODY_LIMIT:
+        if (coding := self._headers.get(b"transfer-encoding")) is not None and (
+            b"content-length" in self._headers or coding.lower() != b"chunked"
+        ):
+            self.reject(400)  # its body may hide another request
+        elif length.isdigit() and int(length[:9]) > BODY_LIMIT:
             self.reject(413)
         elif (
             self._headers.get(b"expect", b"").lower() == b"100-continue"
@@ -254,6 +298,8 @@
 
     def on_message_complete(self) -> None:
         self.begun, self._headed, self._size = None, False, 0
+        self.taken = True
+        self._clients.coming.pop(self, None)
         if self._deaf:
             return
         # Behind a request for another protocol no further one of ours can be told.
@@ -294,6 +340,7 @@
         """Answer what can't be read to its end, behind the answers that are due before it."""
         if not self._deaf:
             self._deaf = self._rejected = True
+            self._clients.coming.pop(self, None)
             self._reply(False, code)
 
     # --- Answering -----------------------------------------------------------------------------
@@ -342,6 +389,7 @@
         self.checker = Checker(settings)
         self.draining = False
         self.idle: dict[_Client, None] = {}  # between requests, the longest idle first
+        self.coming: dict[_Client, None] = {}  # with a request coming in, the longest so first
         self._open: set[_Client] = set()
         self._joining: set[asyncio.Task[None]] = set()
         self._most = most
@@ -416,20 +464,36 @@
         limit = monotonic() - FIRST_S
         client = next((c for c in self.idle if c.served or c.made < limit), None)
         if client is None:
-            return False
+            return self._end_slowest(limit)
         del self.idle[client]
         client.close()
         return True
 
+    def _end_slowest(self, limit: float) -> bool:
+        """End the request that has been coming in for longest: a crowd of them must not keep others out."""
+        client = next((c for c in self.coming if c.stalled(limit)), None)
+        if client is None:
+            return False
+        client.reject(408)
+        client.cut()
+        return True
+
     def gone(self, client: _Client) -> None:
         self._open.discard(client)
         self.idle.pop(client, None)
+        self.coming.pop(client, None)
 
     def sweep(self) -> None:
-        """End requests that never come whole: each would hold its socket for good."""
+        """End requests that never come whole, and connections that never say anything.
+
+        Each would hold its socket for good.
+        """
         limit = monotonic() - STALL_S
-        for client in [c for c in self._open if c.begun is not None and c.begun < limit]:
-            client.reject(408)
+        for client in [c for c in self._open if c.stalled(limit)]:
+            if client.begun is None:
+                client.close()
+            else:
+                client.reject(408)
 
     async def drain(self) -> None:
         """Finish what was taken: listen while connections still come, then until all is answered."""
--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import logging
 import math
@@ -24,6 +25,7 @@
 EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
 EARLY_S = 0.010  # the module's deadline lies so much before the client's: the answer is on its way, too
 PROBE_S = 0.25
+LOAD_MOST = 10_000.0  # of any figure in a load report; no server holds or serves more
 SERVER_PART = 0.4  # of the sockets may be connections to servers
 MARGIN = 32  # descriptors for the listener, discovery, the loop and the log
 
@@ -44,8 +46,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """What the module is told of a request; `wait_s` is how long its client waits."""
+    """A request's `name` (Req-Id), how long its client waits, and what the module is told of it."""
 
+    name: bytes
     cls: int
     plan: int
     customer: int
@@ -57,6 +60,7 @@
 @dataclass(slots=True)
 class _Taken:
     call: Call
+    name: bytes
     deadline_ms: float
     overdue: asyncio.TimerHandle
     attempts: list[Attempt | None] = field(default_factory=list)
@@ -65,12 +69,12 @@
 
 
 def read_load(fields: tuple[str, ...], raw: bytes) -> tuple[float, ...]:
-    """A load report in the settings' order; what is no report says nothing."""
+    """A load report in the settings' order; what is none, or has a figure beyond sense, says nothing."""
     try:
         values = tuple(float(json.loads(raw)[name]) for name in fields) if raw else ()
-    except (ValueError, KeyError, TypeError, RecursionError):
+    except (ValueError, KeyError, TypeError, RecursionError, OverflowError):
         return ()
-    return values if all(map(math.isfinite, values)) else ()
+    return values if all(0 <= value <= LOAD_MOST for value in values) else ()
 
 
 class Limiter:
@@ -83,9 +87,11 @@
         # One offset for good: converted afresh each time, a start would seem to move and be a restart.
         self._wall_ms = EPOCH_MS - time.time() * 1000
         self._servers = Servers(int((config.sockets - MARGIN) * SERVER_PART), config.connect_s, config.idle_s)
-        self._numbers: dict[str, int] = {}
+        self._numbers: dict[str, int] = {}  # of the servers that are not gone
+        self._next_number = itertools.count()  # never used again: outcomes may come after the end
         self._zones = {zone: number for number, zone in enumerate(config.zones)}
         self._requests: dict[int, _Taken] = {}
+        self._names: set[bytes] = set()  # of the open requests
         self._count = 0
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -121,13 +127,18 @@
         if self.open >= self._max_open:
             call.answer(503)
             return self._count
+        if terms.name in self._names:
+            # Sent on, a server would see it as a second copy of the one that is open.
+            call.answer(409)
+            return self._count
         ident, now = self._count, self._now()
         wait_s = min(terms.wait_s, self._settings.classes[terms.cls].deadline_ms / 1000)
         deadline = now + max(wait_s - EARLY_S, wait_s / 2) * 1000
         timer = asyncio.get_running_loop().call_at(
             self._loop_time(now) + wait_s, partial(self._overdue, ident)
         )
-        self._requests[ident] = _Taken(call, deadline, timer)
+        self._requests[ident] = _Taken(call, terms.name, deadline, timer)
+        self._names.add(terms.name)
         self.open += 1
         self._post(
             api.Arrival(ident, terms.cls, terms.plan, terms.customer, terms.units, terms.doors, deadline)
@@ -144,15 +155,17 @@
         self._list(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
 
     def _list(self, told: HostList, kind: api.ListKind) -> None:
+        servers = tuple(self._server(host) for host in told.hosts)
+        self._post(api.ServerList(kind, servers))
+        left = {host.name for host in told.hosts if host.state is ServerState.GONE}
         if kind is not api.ListKind.DELTA:
-            named = {host.name for host in told.hosts}
-            for name, number in self._numbers.items():
-                if name not in named:
-                    self._servers.place(number, ("", 0), ready=False)
-        self._post(api.ServerList(kind, tuple(self._server(host) for host in told.hosts)))
+            left |= self._numbers.keys() - {host.name for host in told.hosts}
+        for name in left:
+            self._servers.remove(self._numbers.pop(name))
 
     def _server(self, host: Host) -> api.Server:
-        number = self._numbers.setdefault(host.name, len(self._numbers))
+        if (number := self._numbers.get(host.name)) is None:
+            number = self._numbers[host.name] = next(self._next_number)
         zone = self._zones.setdefault(host.zone, len(self._zones))
         self._servers.place(number, host.dial, host.state is ServerState.READY)
         started = host.born_ms + self._wall_ms if host.born_ms > 0 else 0.0
@@ -280,6 +293,7 @@
         taken.open = False
         taken.overdue.cancel()
         self.open -= 1
+        self._names.discard(taken.name)
         self._forget(ident, taken)
 
     def _forget(self, ident: int, taken: _Taken) -> None:
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
 IDLE_PART = 0.5  # of the time after which a server closes an idle connection: ours goes well before
+USAGE = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
 TIMER_S = 0.001  # the loop counts whole milliseconds; an attempt must not end before its time
 
 
@@ -79,11 +81,8 @@
 
 
 def _usage(raw: bytes) -> int | None:
-    """The metered use in percent; what is no such number says nothing."""
-    try:
-        return max(0, round(float(raw)))
-    except (ValueError, OverflowError):
-        return None
+    """The metered use in percent; what is no such number, or one beyond the meter's range, says nothing."""
+    return round(float(raw)) if USAGE.fullmatch(raw) else None
 
 
 class _Connection(asyncio.Protocol):
@@ -141,31 +140,46 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            log.warning("server %s: %r", self._server.dial, error)
+            # Behind a whole answer it is no fault of that answer; the connection is of no further use.
+            self._keep = False
             if not self._complete:
-                self._break()
+                self._spoil(repr(error))
                 return
-            self._keep = False
         if self._complete:
             self._finish()
-        elif self._size > BODY_LIMIT + HEAD_LIMIT:
-            log.warning("server %s: answer too large", self._server.dial)
-            self._break()
+        elif self._attempt and not self._headed and self._size > HEAD_LIMIT:
+            self._spoil("a head that does not end")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._complete:
             self._headers[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
+        if self._complete:
+            return
         self._headed = self._parser.get_status_code() >= 200
+        if self._headed:
+            self._size = 0
+            self._check_length()
+
+    def _check_length(self) -> None:
+        """Without a length that is told and can be kept an answer cut short would look like a whole one."""
+        length = self._headers.get(b"content-length", b"")
+        if self._headers.get(b"transfer-encoding", b"").lower() != b"chunked" and not length:
+            self._spoil("neither a length nor chunks")
+        elif length.isdigit() and int(length[:9]) > BODY_LIMIT:
+            self._spoil("answer too large")
 
     def on_body(self, body: bytes) -> None:
-        if not self._complete:
-            self._size += len(body)
-            self._body.append(body)
+        if self._complete or self._attempt is None:
+            return
+        self._size += len(body)
+        self._body.append(body)
+        if self._size > BODY_LIMIT:
+            self._spoil("answer too large")
 
     def on_message_complete(self) -> None:
-        if self._headed and not self._complete:
+        if self._headed and not self._complete and self._attempt:
             self._complete, self._code = True, self._parser.get_status_code()
             self._keep = self._parser.should_keep_alive()
         elif not self._headed:
@@ -175,16 +189,6 @@
         if self._complete:  # bytes behind the answer: what follows is not to be trusted
             self._keep = False
 
-    def eof_received(self) -> None:
-        # An answer with neither length nor chunks ends with its connection; any other is cut short.
-        if (
-            self._headed
-            and not self._complete
-            and not {b"content-length", b"transfer-encoding"} & set(self._headers)
-        ):
-            self._complete, self._code = True, self._parser.get_status_code()
-            self._finish()
-
     def connection_lost(self, exc: Exception | None) -> None:
         self._servers.closed(self._server, self)
         self._break()
@@ -198,10 +202,19 @@
             self._transport.abort()
 
     def _break(self) -> None:
+        self._fail(Status.RESET)
+
+    def _spoil(self, what: str) -> None:
+        """An answer that can't be read: the server lives and may have run the request; none can be served."""
+        log.warning("server %s: %s", self._server.dial, what)
+        self._fail(Status.ERROR)
+
+    def _fail(self, status: Status) -> None:
         attempt, written = self._attempt, self.written
+        self._body = []
         self.drop()
         if attempt:
-            attempt.end(Reply(Status.RESET if written else Status.CONNECT_FAILED))
+            attempt.end(Reply(status if written else Status.CONNECT_FAILED))
 
     def _finish(self) -> None:
         attempt, self._attempt = self._attempt, None
@@ -248,6 +261,12 @@
         if ready:
             server.dial = dial
 
+    def remove(self, number: int) -> None:
+        """Forget a server that is gone; what is still out there ends over its own connection."""
+        if server := self._servers.pop(number, None):
+            server.ready = False
+            self._drop_idle(server)
+
     def any_ready(self) -> bool:
         return any(server.ready for server in self._servers.values())
 
--- a/ironstage/wire.py
+++ b/ironstage/wire.py
@@ -373,4 +373,5 @@
         advice_ms=limits.number("maxRetryAfterMs", 0) if limits.flag("retryAfter") else 0.0,
         must_subscribe=root.word("registryMode", "automatic") == "subscribe",
         report_fields=_fields(report),
+        most_units=extra.number("mostUnits", 0),
     )
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -49,6 +49,7 @@
         "connectTimeoutMs": 250.0,
         "connIdleMs": 30000.0,
     },
+    "specifics": {"mostUnits": 6},
     "report": {"fields": ["rif", "rate"], "how": "pull"},
 }
 
