Growth: customers, their logs, gone servers and the flow are bounded; a ceiling fills from the start

Checked by reading what holds on: Gateway.customers (120 s of one-time customers, looked through every 120 s, so up to 240 s of them), Customer.log (256 sends of each, however old), Fleet.let_in (trimmed only while a server is cold), cycles of parser and connection that wait for the collector. Descriptors were flat throughout.

Mend: logic.py forgets a customer idle for 40 s whose stores are full, one of whom little was seen after 10 s, and beyond 5,000 the longest idle, none before its ceiling is full again; logs hold 10 s; Customer has slots. A ceiling began empty at a customer's first sight, so each one-time customer of that plan was refused its first try: it now counts as empty when the gateway started and as filled since then, which is as safe.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -36,7 +36,7 @@
 LAG_PULL = 0.1  # squared units for each squared step from that guess; breaks ties only
 PHASE_KEEP = 0.95  # of the evidence on when readings change kept at each change; not varied
 LAG_KEEP = 0.995  # of the evidence kept a reading: some hundred readings decide
-HISTORY = 128  # own first sends kept of a customer, at least: the meter's lag in view
+HISTORY_MS = 10000.0  # ms; own first sends kept of a customer, at least: the meter's lag in view
 SHARE_PRIOR = 8.0  # units; weight of "evenly spread" against metered evidence of our share
 OWN_LEAST = 1.0  # units of a burst that are ours; with fewer, own sends tell nothing of the store
 PRIOR_USE = 1.0  # of the rate; what a customer is taken to use before its meter was read
@@ -44,7 +44,11 @@
 READING_KEEP = 0.5  # of the earlier readings' weight kept at a new one
 STORE_USE = 0.7  # of the rate; what the others are taken to draw together
 STORE_UNITS = 0.7  # units that this guess weighs
-FORGET_MS = 120000.0  # ms; a customer idle so long has a full store and nothing left to remember
+FORGET_MS = 40000.0  # ms; a customer idle so long, its stores full, has nothing left to remember
+LIGHT_MS = 10000.0  # ms; nor has one idle so long of whom little more than one try was seen
+LIGHT_UNITS = 1.0  # of tries and metered use, faded; up to that it is little
+TIDY_MS = 1000.0  # ms; how often such customers are looked for
+MOST_CUSTOMERS = 5000  # some 2 KB each; beyond, the longest idle go as soon as their ceiling is full
 AGE_MS = 20000.0  # ms; readings lose weight over such times: customers change their ways
 THEN_LEAST = 0.05  # the least share that a reading is divided by
 SHARE_KEEP = 0.85  # of that evidence kept a metered period: weights shift within tens of seconds
@@ -214,14 +218,38 @@
     that the meter cannot tell yet and missing readings. It can hurt when our part is misjudged.
     """
 
+    __slots__ = (
+        "anchor",
+        "asked",
+        "asked_at",
+        "born",
+        "ceiling",
+        "doors",
+        "heard_at",
+        "log",
+        "out",
+        "own",
+        "plan",
+        "read_at",
+        "seen",
+        "store",
+        "usage",
+        "used",
+        "whole",
+    )
+
     def __init__(self, plan: api.Plan, doors: int, now: float, born: float = 0.0) -> None:
         self.plan = plan
         self.doors = max(1, doors)
         self.store = TokenBucket(plan.rate, plan.burst, plan.burst, now)
         self.seen = self.used = 0.0  # weighted time metered, and units used in it
         self.asked, self.asked_at, self.born = 0.0, now, born
-        # Alone within 1/doors of the ceiling; empty, as its last life may have drawn all.
-        self.ceiling = TokenBucket(plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors, 0.0, now)
+        # Alone within 1/doors of the ceiling; empty when this gateway started, as its last life may have
+        # drawn all, and filled since then: nothing of this customer was sent on.
+        began = min(born, now)
+        self.ceiling = TokenBucket(
+            plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors, 0.0, began
+        )
         # Of own first sends: time, running sums of units, and of units with the others' share.
         self.log = [(-INF, 0.0, 0.0)]
         self.anchor = (plan.burst, now)  # store estimate at the end of the last metered period
@@ -261,11 +289,21 @@
         self.store.refill(now)
         self.store.level = max(-DEBT * self.plan.burst, self.store.level - taken)
         self.log.append((now, self.log[-1][1] + units, self.log[-1][2] + taken))
-        if len(self.log) > HISTORY * 2:
-            del self.log[:HISTORY]
+        half = len(self.log) // 2
+        if half > 8 and self.log[half][0] < now - HISTORY_MS:
+            del self.log[:half]
         if self.plan.ceiling_rate > 0:
             self.ceiling.level -= units
 
+    def forgettable(self, now: float, pressed: bool) -> bool:
+        """Whether one made anew would stand as this one does; when pressed the ceiling alone counts."""
+        if self.out or self.ceiling.refill(now) < self.ceiling.depth:
+            return False
+        faded = self.asked * math.exp((self.asked_at - now) / AGE_MS)
+        light = max(faded, self.whole) <= LIGHT_UNITS
+        idle = now - self.asked_at >= (LIGHT_MS if light else FORGET_MS)
+        return pressed or (idle and self.store.refill(now) >= self.store.depth)
+
     def drawn(self, until: float) -> tuple[float, float]:
         """Units of own first sends up to then, without and with the others', from some origin."""
         return self.log[max(0, bisect_right(self.log, (until, INF, INF)) - 1)][1:]
@@ -397,14 +435,17 @@
 
     def _fill(self, peer: Peer, now: float) -> float:
         """Slow start, for the cold rule: a cold server earns its warm part of a server's usual flow."""
-        while self.let_in and self.let_in[0] < now - WINDOW_MS:
-            self.let_in.popleft()
+        self.trim(now)
         flow = len(self.let_in) / WINDOW_MS / max(1, len(self.ready))
         gained = (now - max(peer.filled_ms, peer.told_ms)) * flow * COLD_PART * self.warmth(peer, now)
         peer.allowance = min(1.0, peer.allowance + gained)
         peer.filled_ms = now
         return peer.allowance
 
+    def trim(self, now: float) -> None:
+        while self.let_in and self.let_in[0] < now - WINDOW_MS:
+            self.let_in.popleft()
+
     def usable(self, peer: Peer, now: float) -> bool:
         """Whether the drain and cold rules let a new attempt go to this server."""
         if peer.entry.state is not ServerState.READY:
@@ -548,14 +589,27 @@
         if now - self.rerun_ms >= RERUN_MS:
             self.rerun_ms = now
             self._rerun(now)
-        if now - self.tidied >= FORGET_MS:
+        if now - self.tidied >= TIDY_MS:
             self.tidied = now
-            kept = {k: c for k, c in self.customers.items() if c.out or now - c.asked_at < FORGET_MS}
-            self.customers = kept
+            self._tidy(now)
         if act := self.acts.get(type(event)):
             act(now, event)
         return self.actions
 
+    def _tidy(self, now: float) -> None:
+        """Forget customers that have been idle for longest, and what the flow no longer counts."""
+        self.fleet.trim(now)
+        over = len(self.customers) - MOST_CUSTOMERS
+        gone: list[int] = []
+        for ident, customer in self.customers.items():  # the longest idle first
+            pressed = len(gone) < over
+            if not pressed and now - customer.asked_at < LIGHT_MS:
+                break
+            if customer.forgettable(now, pressed):
+                gone.append(ident)
+        for ident in gone:
+            del self.customers[ident]
+
     def _listed(self, now: float, event: api.ServerList) -> None:
         self.fleet.update(now, event)
         self.born = min(self.born, now)
@@ -565,11 +619,10 @@
     def _arrive(self, now: float, event: api.Arrival) -> None:
         """The ordinary path: let-in share, lane cap, server choice; what fails is refused at once."""
         cls = self.settings.classes[event.cls]
-        if event.customer not in self.customers:
-            self.customers[event.customer] = Customer(
-                self.settings.plans[event.plan], event.doors, now, self.born
-            )
-        customer = self.customers[event.customer]
+        customer = self.customers.pop(event.customer, None)
+        if customer is None:
+            customer = Customer(self.settings.plans[event.plan], event.doors, now, self.born)
+        self.customers[event.customer] = customer  # behind all others: the latest to ask
         # Where a late answer earns little, an attempt past the aim is waste and feeds a jam.
         in_time = cls.late_worth <= LITTLE_WORTH and cls.aim_stretch <= 0 and not cls.stream
         end = min(event.deadline_ms, now + cls.aim_ms) if in_time else event.deadline_ms
--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -181,6 +181,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._deaf = True
+        del self._parser  # it holds this object, too: together they would wait for the collector
         self._clients.gone(self)
         calls, self._calls = self._calls, deque()
         for call in calls:
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -191,6 +191,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._servers.closed(self._server, self)
+        del self._parser  # it holds this object, too: together they would wait for the collector
         self._break()
 
     def drop(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -256,3 +256,33 @@
             task.cancel()
 
     run(test())
+
+
+def test_servers_that_are_gone_are_forgotten() -> None:
+    """By a change or by absence; one with work out once that has ended, and no number comes twice."""
+
+    async def test() -> None:
+        async with backend() as server, agent() as watched:
+            async with limiter(host("s-0", server.address), watched=watched) as rig:
+                fleet, numbers = rig.limiter._gateway.fleet, set[int]()
+                await watched.watches.get()
+                client = await rig.connect()
+                client.send(message("fix", "held"))
+                held = await server.arrived.get()
+                for n in range(1, 200):
+                    new = host(f"s-{n}", server.address)
+                    if n % 2:
+                        watched.tell(listing(n + 1, new))
+                    else:
+                        left = {"host": f"s-{n - 1}", "health": "left"}
+                        watched.tell(listing(n + 1, new, left, whole=False))
+                    await until(lambda n=n: rig.watch.seq == n + 1)  # type: ignore[misc]
+                    assert len(rig.limiter._numbers) == len(rig.limiter._servers._servers) == 1
+                    assert len(fleet.peers) == 2  # and the one with work out
+                    numbers |= set(rig.limiter._numbers.values())
+                assert len(numbers) == 199
+                await echo(held)
+                assert (await client.answer()).body == b"held"
+                assert len(fleet.peers) == 1
+
+    run(test())
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -8,6 +8,7 @@
 from helpers import Rig, sends
 
 from ironstage import interface as api
+from ironstage import logic
 from ironstage.logic import Customer, MeterClock
 
 PLAN = api.Plan(rate=10, burst=20)
@@ -114,3 +115,52 @@
     rig.arrive(260000.0, customer=7)
     assert set(rig.gateway.customers) == {99, 7}
     rig.done(260010.0, kept, "ok")
+
+
+def test_one_time_customers_are_forgotten() -> None:
+    """However many come, only those of the last while are held; one whose try is out stays."""
+    rig = Rig()
+    kept = sends(rig.arrive(0.0, customer=1_000_000))
+    for step in range(5000):
+        [sent] = sends(rig.arrive(step * 50.0, customer=step))
+        rig.done(step * 50.0 + 20.0, sent, "ok")
+    assert kept and 1_000_000 in rig.gateway.customers
+    assert len(rig.gateway.customers) < 1000
+    assert len(rig.gateway.fleet.let_in) < 200
+
+
+def test_a_flood_of_customers_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The longest idle go early, but none before its ceiling is full again: it would be passed."""
+    monkeypatch.setattr(logic, "MOST_CUSTOMERS", 50)
+    slow = api.Plan(rate=1000, burst=2000, ceiling_rate=0.5, ceiling_depth=100.0)
+    rig = Rig(plans=(slow,))
+    now = 300_000.0
+    for step in range(300):
+        [sent] = sends(rig.arrive(now + step, customer=step))
+        rig.done(now + step, sent, "ok")
+    rig.tick(now + 1050.0)
+    assert len(rig.gateway.customers) == 300
+    rig.tick(now + 5000.0)
+    assert len(rig.gateway.customers) == 50
+
+
+def test_a_customers_log_is_bounded_by_time() -> None:
+    rig = Rig()
+    for step in range(5000):
+        [sent] = sends(rig.arrive(step * 50.0))
+        rig.done(step * 50.0 + 20.0, sent, "ok")
+    [customer] = rig.gateway.customers.values()
+    assert 200 <= len(customer.log) <= 450
+    end = 5000 * 50.0
+    assert customer.drawn(end)[0] - customer.drawn(end - 5025.0)[0] == 100.0
+
+
+def test_a_ceiling_fills_from_the_start_of_the_gateway() -> None:
+    """Empty at the start, as an earlier life may have drawn all; what it gave since then is there at once."""
+    plan = api.Plan(rate=1000, burst=2000, ceiling_rate=10.0, ceiling_depth=8.0)
+    rig = Rig(plans=(plan,))
+    assert not sends(rig.arrive(50.0, customer=1, doors=2))
+    tries = [rig.arrive(400.0, customer=2, doors=2) for _ in range(5)]
+    assert sum(len(sends(actions)) for actions in tries) == 2  # 0.4 s of half the rate
+    tries = [rig.arrive(90_000.0, customer=3, doors=2) for _ in range(9)]
+    assert sum(len(sends(actions)) for actions in tries) == 4  # half the depth
