A server that fails at once is a suspect after two errors

Checked: no resets, no time-outs there, only errors. To blame: Fleet.heard took an error for a sign of health, and Fleet.cost finds a server that fails at once the least busy. Mend: two errors with no good answer between make it a suspect, with the trials that any other has. Single errors, as spoilt answers are, keep none out (checked by test; at 5% spoilt two in a row come once in 400).

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -60,6 +60,7 @@
 FEW = 0.6  # of the ready servers; more suspects than this mean a slow back end, not lost servers
 REFERENCE_MS = 200.0  # ms; mean latency before anything was measured
 RETEST_MS = 1000.0  # ms; first wait before a suspect gets a trial, doubled up to 8 times
+ERRORS = 2  # with no good answer between; a server that fails at once looks free and draws all traffic
 FULL_MS = 200.0  # ms; a server that turned a request away is left alone this long
 COLD_PART = 0.8  # of the allowance of a cold server that we use: room for chance
 BUSY_WEIGHT = 2.0  # requests that a wholly busy report counts for; 0 and 6 were no better
@@ -379,6 +380,7 @@
     suspect: bool = False
     retest_ms: float = 0.0
     backoff: int = 0
+    errors: int = 0  # since its last good answer
     avoid_ms: float = -INF
     load: float = 0.0
     load_ms: float = -INF
@@ -489,7 +491,13 @@
                 del self.peers[event.server]
             return
         if event.status in (Status.OK, Status.ERROR, Status.FULL):
-            self.clear(peer, now)
+            if event.status is not Status.FULL:
+                peer.errors = peer.errors + 1 if event.status is Status.ERROR else 0
+            peer.heard_ms = now
+            if peer.errors < ERRORS:
+                self.clear(peer)
+            else:
+                self.doubt(peer, now)
             self.missed.pop(peer.entry.zone, None)
         # Silence while it had work is the sign of a vanished server, a refused connection of a lost one.
         silent = event.status is Status.TIMEOUT and peer.heard_ms < now - event.elapsed_ms
@@ -511,8 +519,8 @@
         peer.load_ms = now
         self.usual += USUAL_PART * (peer.load - self.usual)
 
-    def clear(self, peer: Peer, now: float) -> None:
-        peer.heard_ms, peer.suspect, peer.backoff = now, False, 0
+    def clear(self, peer: Peer) -> None:
+        peer.suspect, peer.backoff = False, 0
         self.suspects.pop(peer.entry.id, None)
 
     def doubt(self, peer: Peer, now: float) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -268,3 +268,18 @@
     idle, busy, unheard = (fleet.cost(fleet.peers[n], 50.0) for n in (2, 1, 3))
     assert idle < unheard < busy
     assert fleet.cost(fleet.peers[1], 60000.0) == fleet.cost(fleet.peers[3], 60000.0)
+
+
+def test_a_server_that_fails_at_once_draws_no_traffic() -> None:
+    """It always looks least busy; single errors, as spoilt answers are, keep none out; it returns."""
+    rig = Rig([server(n) for n in range(1, 5)])
+    failed, broken = 0, True
+    for step in range(2000):
+        now = 10.0 * step + 1
+        broken = step < 1000
+        for sent in sends(rig.arrive(now, UNSAFE)):
+            bad = broken and sent.server == 1
+            failed += bad
+            rig.done(now + 1.0, sent, "error" if bad or step % 50 == 0 else "ok", elapsed=1.0)
+    assert failed < 20
+    assert not rig.gateway.fleet.suspects
