Answers that stop short end at once; lost ones are tried again while hardly one is late

Ruled out: health, as the servers answer others meanwhile. To blame: _Connection had no bound on the time of an answer's rest, and Gateway._send gave every attempt all of the time unless 15% of them got lost.

Mend: servers.py ends an answer that has begun 0.25 s later as spoilt (not behind a 1xx, which says nothing of when the final one begins). logic.py gives repeatable work 0.65 of its time on the first try while time-outs are at least 2% and at most 1% of the answers take longer than that: then it is loss, not load.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -57,6 +57,9 @@
 LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
 QUICK = 0.25  # of the tightest aim; three in four answers within it are quick
 EARLY = 0.5  # of the time left; repeatable work is then given up so early, and tried once more
+LATE = 0.65  # of the time left; repeatable work is given up then while more is lost than is late
+TAIL = 0.01  # of the recent answers may be late then: else it is load, and one more try feeds it
+STRAY = 0.02  # of the recent attempts; with fewer time-outs hardly an answer gets lost
 FEW = 0.6  # of the ready servers; more suspects than this mean a slow back end, not lost servers
 REFERENCE_MS = 200.0  # ms; mean latency before anything was measured
 RETEST_MS = 1000.0  # ms; first wait before a suspect gets a trial, doubled up to 8 times
@@ -579,6 +582,7 @@
         self.rerun_ms = -INF
         self.lost: deque[tuple[float, int, float]] = deque()  # as latencies, of time-outs
         self.lossy = False
+        self.strays = False  # some answers get lost though hardly one is late
         self.born, self.tidied = INF, 0.0
         self.actions: list[api.Action] = []
         self.acts: dict[type, Callable[[float, Any], None]] = {
@@ -686,12 +690,9 @@
         if first:
             request.customer.draw(now, event.units)
         until = request.end_ms
-        if (
-            self.lossy
-            and request.cls.effect is not Effect.UNSAFE
-            and attempt.number + 1 < self.settings.max_attempts
-        ):
-            until = now + EARLY * (until - now)
+        part = EARLY if self.lossy else LATE if self.strays and first else 1.0
+        if request.cls.effect is not Effect.UNSAFE and attempt.number + 1 < self.settings.max_attempts:
+            until = now + part * (until - now)
         self.actions.append(api.Send(event.request, peer.entry.id, until))
         return True
 
@@ -778,6 +779,9 @@
         quick = sorted(elapsed for *_, elapsed in self.latencies)
         heavy = len(self.lost) > LOSS * (len(self.lost) + len(quick))
         before, self.lossy = self.lossy, len(quick) > 3 and heavy and quick[len(quick) * 3 // 4] < QUICK * aim
+        late = sum(1 for elapsed in quick if elapsed > LATE * aim)
+        enough = len(self.lost) >= max(2.0, STRAY * len(quick))
+        self.strays = len(quick) > FEWEST and enough and late <= TAIL * len(quick)
         if self.lossy and not before:
             self.actions.append(api.Log(f"answers get lost: {len(self.lost)} beside {len(quick)}"))
         for _, lane, elapsed in [*self.latencies, *(() if self.lossy else self.lost)]:
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -23,6 +23,7 @@
 HEAD_LIMIT = 16 * 1024
 IDLE_PART = 0.5  # of the time after which a server closes an idle connection: ours goes well before
 USAGE = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
+SHORT_S = 0.25  # for the rest of an answer that has begun to come; one that stops short is spoilt
 TIMER_S = 0.001  # the loop counts whole milliseconds; an attempt must not end before its time
 
 
@@ -100,6 +101,8 @@
         self._size = 0
         self._code = 0
         self._headed = self._complete = self._keep = False
+        self._within = False  # an answer has come in part
+        self._rest: asyncio.TimerHandle | None = None  # runs meanwhile
         self.written = False
         self.idle_since = 0.0
 
@@ -149,6 +152,10 @@
             self._finish()
         elif self._attempt and not self._headed and self._size > HEAD_LIMIT:
             self._spoil("a head that does not end")
+        elif not self._within:
+            self._settle()  # an interim answer says nothing of when the final one begins
+        elif self._attempt and self._rest is None:
+            self._rest = asyncio.get_running_loop().call_later(SHORT_S, self._spoil, "stopped short")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._complete:
@@ -179,6 +186,7 @@
             self._spoil("answer too large")
 
     def on_message_complete(self) -> None:
+        self._within = False
         if self._headed and not self._complete and self._attempt:
             self._complete, self._code = True, self._parser.get_status_code()
             self._keep = self._parser.should_keep_alive()
@@ -186,6 +194,7 @@
             self._headers = {}  # of an interim answer
 
     def on_message_begin(self) -> None:
+        self._within = True
         if self._complete:  # bytes behind the answer: what follows is not to be trusted
             self._keep = False
 
@@ -197,6 +206,7 @@
     def drop(self) -> None:
         """Close so that the server hears of it before anything that is written from now on."""
         self._attempt = None
+        self._settle()
         if self._transport and not self._transport.is_closing():
             with contextlib.suppress(OSError):  # the other side was faster
                 self._sock.shutdown(socket.SHUT_RDWR)
@@ -217,7 +227,13 @@
         if attempt:
             attempt.end(Reply(status if written else Status.CONNECT_FAILED))
 
+    def _settle(self) -> None:
+        if self._rest:
+            self._rest.cancel()
+            self._rest = None
+
     def _finish(self) -> None:
+        self._settle()
         attempt, self._attempt = self._attempt, None
         if attempt is None:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from helpers import BASE, Rig, kinds, sends, server
+from helpers import BASE, CLASSES, Rig, kinds, sends, server
 
 from ironstage import interface as api
 
@@ -283,3 +283,20 @@
             rig.done(now + 1.0, sent, "error" if bad or step % 50 == 0 else "ok", elapsed=1.0)
     assert failed < 20
     assert not rig.gateway.fleet.suspects
+
+
+@pytest.mark.parametrize(("strays", "late"), [(0, 0), (4, 0), (4, 8)])
+def test_lost_answers_on_a_light_day_are_tried_again(strays: int, late: int) -> None:
+    """Where answers get lost repeatable work is given up in time for one more try; under load never."""
+    rig = Rig([server(n) for n in range(1, 5)])
+    for step in range(100):
+        now = 10.0 * step + 1
+        [sent] = sends(rig.arrive(now, UNSAFE))
+        elapsed = 900.0 if step < late else 20.0
+        status = "timeout" if step >= 100 - strays else "ok"
+        rig.done(now + 5.0, sent, status, elapsed=elapsed)
+    now = 2000.0
+    rig.tick(now)
+    left = {cls: sends(rig.arrive(now, cls))[0].until_ms - now for cls in (SAFE, UNSAFE)}
+    assert left[UNSAFE] == CLASSES[UNSAFE].aim_ms
+    assert (left[SAFE] < CLASSES[SAFE].aim_ms) is (strays > 0 and late == 0)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -11,6 +11,7 @@
 from sockets import Backend, Request, backend, host, limiter, message, run, until, unused_address
 
 from ironstage.interface import Status
+from ironstage.net import servers as servers_module
 from ironstage.net.servers import Reply, Servers
 
 DECLINED = "Srv-Declined: 1"
@@ -144,6 +145,8 @@
     "no length": b"HTTP/1.1 200 OK\r\n\r\nperhaps half",
     "both": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n",
+    "half a head": b"HTTP/1.1 200 OK\r\nContent-Le",
+    "half a body": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
     "endless head": b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppp\r\n" * 2000,
     "endless interim": b"HTTP/1.1 102 Processing\r\n\r\n" * 1000,
     "huge": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
@@ -193,6 +196,22 @@
     run(test())
 
 
+def test_interim_answer_long_before(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It says nothing of when the final one begins, and does not count as one that stopped short."""
+    monkeypatch.setattr(servers_module, "SHORT_S", 0.02)
+
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+            await asyncio.sleep(0.2)
+            request.reply(body=b"whole")
+
+        async with backend(script) as server:
+            assert await ask_once(server) == (200, 1, b"whole")
+
+    run(test())
+
+
 def test_answer_of_the_largest_size() -> None:
     """The head is not counted with the body, however they arrive."""
 
