A refusal tells when to come back

Seen: no 429 carried Retry-After: the settings of this site say that the simulator's clients get none (retryAfter false), and wire.parse_settings turned the advice off with it, for sockets as well. Mend: config.py gives the module the bound (maxRetryAfterMs) on sockets; Gateway._advice tells the mean latency, in which a slot comes free, and where the meter says that the quota is used up, when the store holds the units.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -707,9 +707,18 @@
         harmless = not ran or request.cls.effect is Effect.SAFE or keyed_all
         refuse = harmless and not (ran and now >= request.end_ms)
         ident, request.open = request.event.request, False
-        self.actions.append(api.Refuse(ident, self.settings.advice_ms) if refuse else api.Fail(ident))
+        self.actions.append(api.Refuse(ident, self._advice(now, request)) if refuse else api.Fail(ident))
         self._forget(request)
 
+    def _advice(self, now: float, request: Request) -> float:
+        """When to come back, in ms: once what is out has mostly ended, or where the meter says that the
+        quota is used up, once the store holds the units again."""
+        customer, wait = request.customer, self.fleet.mean_ms
+        short = request.event.units - customer.store.refill(now)
+        if (customer.usage or 0) >= 100 and short > 0 and customer.plan.rate > 0:
+            wait = max(wait, short / customer.plan.rate * 1000.0)
+        return min(self.settings.advice_ms, wait)
+
     def _forget(self, request: Request) -> None:
         if not request.open and not request.outstanding():
             self.requests.pop(request.event.request, None)
--- a/ironstage/net/config.py
+++ b/ironstage/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ironstage import interface as api
@@ -19,6 +19,7 @@
 LEAST_BODIES = 1 << 20  # bytes
 CONNECT_MS = 250.0
 IDLE_MS = 15_000.0
+ADVICE_MS = 500.0  # a client is told to stay away for so long at most
 MAX_OPEN = 1000  # requests in hand: with bodies of 64 KiB at either end they stay within the memory
 
 
@@ -114,7 +115,8 @@
         sockets=int(_number(limits, "sockets", SOCKETS)),
         body_bytes=_body_bytes(_number(limits, "memory_mb", MEMORY_MB)),
         max_open=int(min(MAX_OPEN, _number(ceilings, "maxOpen", MAX_OPEN))),
-        settings=decoded,
+        # On sockets a refusal may always tell when to come back, whatever the simulator's clients hear.
+        settings=replace(decoded, advice_ms=_number(ceilings, "maxRetryAfterMs", ADVICE_MS)),
         zones=tuple(str(zone) for zone in zones) if isinstance(zones, list) else (),
         connect_s=_number(ceilings, "connectTimeoutMs", CONNECT_MS) / 1000,
         idle_s=_number(ceilings, "connIdleMs", IDLE_MS) / 1000,
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -164,3 +164,17 @@
     assert sum(len(sends(actions)) for actions in tries) == 2  # 0.4 s of half the rate
     tries = [rig.arrive(90_000.0, customer=3, doors=2) for _ in range(9)]
     assert sum(len(sends(actions)) for actions in tries) == 4  # half the depth
+
+
+def test_a_refusal_tells_when_to_come_back() -> None:
+    """Soon where the quota has room; beyond it once the store holds the units, within the bound."""
+    rig = Rig([], plans=(api.Plan(rate=5, burst=1),), advice_ms=500)
+    [refused] = rig.arrive(1.0, customer=1)
+    assert isinstance(refused, api.Refuse) and refused.retry_in_ms == logic.REFERENCE_MS
+    beyond = rig.gateway.customers[1]
+    beyond.usage, beyond.store.level = 300, -0.5
+    [refused] = rig.arrive(1.0, customer=1)
+    assert isinstance(refused, api.Refuse) and refused.retry_in_ms == pytest.approx(300.0)
+    beyond.store.level = -9.0
+    [refused] = rig.arrive(1.0, customer=1)
+    assert isinstance(refused, api.Refuse) and refused.retry_in_ms == 500.0
