--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -300,3 +300,15 @@
     left = {cls: sends(rig.arrive(now, cls))[0].until_ms - now for cls in (SAFE, UNSAFE)}
     assert left[UNSAFE] == CLASSES[UNSAFE].aim_ms
     assert (left[SAFE] < CLASSES[SAFE].aim_ms) is (strays > 0 and late == 0)
+
+
+def test_one_reset_is_the_connections_own_and_two_are_the_servers() -> None:
+    rig = Rig([server(1)])
+    fleet = rig.gateway.fleet
+    for now, suspects in ((10.0, 0), (20.0, 1)):
+        [sent] = sends(rig.arrive(now, UNSAFE))
+        rig.done(now + 1.0, sent, "reset", elapsed=1.0)
+        assert len(fleet.suspects) == suspects
+    [trial] = sends(rig.arrive(2000.0, UNSAFE))
+    rig.done(2001.0, trial, "ok", elapsed=1.0)
+    assert not fleet.suspects
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -8,7 +8,19 @@
 from collections.abc import Iterator
 
 import pytest
-from sockets import Backend, Request, backend, host, limiter, message, run, until, unused_address
+from sockets import (
+    Backend,
+    Request,
+    agent,
+    backend,
+    host,
+    limiter,
+    listing,
+    message,
+    run,
+    until,
+    unused_address,
+)
 
 from ironstage.interface import Status
 from ironstage.net import servers as servers_module
@@ -437,3 +449,74 @@
             await until(lambda: server.connections == 1)
 
     run(test())
+
+
+def test_counts_after_every_kind_of_end() -> None:
+    """However attempts end, the module holds no request, count or connection that the sockets do not."""
+
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            match request.headers["req-id"].partition("-")[0]:
+                case "ok":
+                    request.reply(body=b"ok")
+                case "error":
+                    request.reply("500 Internal Server Error")
+                case "declined":
+                    request.reply("503 Service Unavailable", b"", DECLINED)
+                case "reset":
+                    request.reset()
+                case "spoilt":
+                    request.writer.write(b"nonsense\r\n\r\n")
+                    await request.closed()
+                case "short":
+                    request.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+                    await request.closed()
+                case _:
+                    await request.closed()
+
+        async with backend(script) as server, agent() as watched:
+            hosts = host("a", server.address), host("b", server.address), host("c", unused_address())
+            async with limiter(*hosts, watched=watched) as rig:
+                await watched.watches.get()
+                kinds = ("ok", "error", "declined", "reset", "spoilt", "short", "silent")
+                made = []
+                for n, kind in enumerate(kinds * 6):
+                    made.append(await rig.connect())
+                    cls = ("read", "upload", "fix")[n % 3]
+                    made[-1].send(message(cls, f"{kind}-{n}", Req_Deadline="0.5"))
+                hung_up = [await rig.connect() for _ in range(5)]
+                for n, client in enumerate(hung_up):
+                    client.send(message("fix", f"silent-h{n}"))
+                await until(lambda: rig.limiter.open >= 5)
+                for client in hung_up:
+                    client.close()
+                watched.tell(listing(2, host("d", server.address)))  # the others are gone in mid-flight
+                assert {(await client.answer()).code for client in made} <= {200, 429, 502}
+                gateway, sockets = rig.limiter._gateway, rig.limiter._servers
+                await until(lambda: not gateway.requests and not rig.limiter._requests)
+                await until(lambda: not sockets._connecting)
+                assert (rig.limiter.open, gateway.count, rig.limiter._names) == (0, [0, 0], set())
+                assert all(customer.out == 0 for customer in gateway.customers.values())
+                assert [peer.waiting for peer in gateway.fleet.peers.values()] == [0]
+                sockets.close()
+                await until(lambda: sockets._open == 0)
+
+    run(test())
+
+
+def test_a_connection_free_for_long_is_not_used_again() -> None:
+    """Servers close such ones, and a request that crosses the close can't go out again."""
+
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            request.reply(body=b"own")
+
+        async with backend(script) as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            assert (await client.ask(message("fix", "one"))).body == b"own"
+            await asyncio.sleep(servers_module.REUSE_S * 2)
+            assert (await client.ask(message("fix", "two"))).body == b"own"
+            assert [request.connection for request in server.requests] == [1, 2]
+            await server.requests[0].closed()
+
+    run(test())
