Repeats that come too late no longer take units that others need

Seen by a trace of all four limiters (each try with its deadline, the let-in share, the store believed and the one reckoned from all limiters' sends; each attempt's end): a first try waits 0.925 of its class's deadline, a repeat for what is left of it, so D - wait tells how old the request is, to 3 ms (checked on 1,344 pairs of uploads that share a key). To blame: Gateway._arrive, which took each try for new.

Mend: Gateway._late in logic.py. Such a repeat is let in only where the store holds over half of its burst; it no longer counts as asked, so the let-in share of the others rises. The comment says whom it could hurt.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -60,6 +60,11 @@
 LATE = 0.65  # of the time left; repeatable work is given up then while more is lost than is late
 TAIL = 0.01  # of the recent answers may be late then: else it is load, and one more try feeds it
 STRAY = 0.02  # of the recent attempts; with fewer time-outs hardly an answer gets lost
+WAITS = 64  # of a class's latest tries; of these the wait of first ones is read
+FRESH = 0.75  # of them, as a quantile: of three tries a request one is a first, and few ask for longer
+WAIT_SLACK_MS = 10.0  # by which a wait may fall short of the usual one on its way and is still a first
+LATEST = 0.5  # of the aim; a repeat with less than the mean latency left, or this, comes too late
+SPARE = 0.5  # of the burst; beyond it a try that comes too late takes nothing that others need
 FEW = 0.6  # of the ready servers; more suspects than this mean a slow back end, not lost servers
 REFERENCE_MS = 200.0  # ms; mean latency before anything was measured
 RETEST_MS = 1000.0  # ms; first wait before a suspect gets a trial, doubled up to 8 times
@@ -348,6 +353,10 @@
         left = level + net * (now - end) - (self.log[-1][2] - taken[2])
         self.store.level, self.store.at = min(burst, max(-DEBT * burst, left)), now
 
+    def spares(self, now: float, units: float) -> bool:
+        """Whether the store has so much left that these units will hardly be missed."""
+        return self.plan.rate <= 0 or self.store.refill(now) - units >= SPARE * self.plan.burst
+
     def lets_in(self, now: float, units: float, dice: float) -> bool:
         """The let-in share; a store full enough passes without it where it rests on own sends."""
         share = self.share(now)
@@ -586,6 +595,7 @@
         self.lossy = False
         self.strays = False  # some answers get lost though hardly one is late
         self.born, self.tidied = INF, 0.0
+        self.waits: list[deque[float]] = [deque(maxlen=WAITS) for _ in settings.classes]
         self.actions: list[api.Action] = []
         self.acts: dict[type, Callable[[float, Any], None]] = {
             api.Arrival: self._arrive,
@@ -642,7 +652,9 @@
         end = min(event.deadline_ms, now + cls.aim_ms) if in_time else event.deadline_ms
         request = Request(event, cls, self.lanes[event.cls], end, customer)
         self.requests[event.request] = request
-        if customer.lets_in(now, event.units, self.rng.random()):
+        if in_time and self._late(now, event) and not customer.spares(now, event.units):
+            self._answer(now, request)
+        elif customer.lets_in(now, event.units, self.rng.random()):
             self.arrivals.append((now, request.lane, event.units))
             self.fleet.let_in.append(now)
             # Below the cap by less than one: by chance, which mixes the two whole thresholds beside it.
@@ -652,6 +664,22 @@
                 return
         self._answer(now, request)
 
+    def _late(self, now: float, event: api.Arrival) -> bool:
+        """Whether this is a repeat that can hardly be answered within the aim, counted from the first try.
+
+        No try waits past the end of its request, so one that waits for less than most do is a repeat, and
+        what its wait falls short of the class's deadline has passed. A request that was long on its way shows
+        the same. It hurts clients whose first tries wait for less than others': taken for repeats, they get
+        what the customer's store can spare.
+        """
+        cls, waits, wait = self.settings.classes[event.cls], self.waits[event.cls], event.deadline_ms - now
+        waits.append(wait)
+        usual = sorted(waits)[int(FRESH * len(waits))]
+        if len(waits) < FEWEST or wait >= usual - WAIT_SLACK_MS:
+            return False
+        left = cls.aim_ms - (cls.deadline_ms - wait)
+        return left < min(self.fleet.mean_ms, LATEST * cls.aim_ms)
+
     def _may_repeat(self, request: Request, peer: Peer, now: float) -> bool:
         """The repeats rule, passed by every send."""
         if request.outstanding() and not self.settings.second_copies:
