The wait of first tries is the commonest one, not a high quantile

Now the commonest wait counts, the shorter of two that are about as common. The new test fails with the quantile.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -9,7 +9,7 @@
 import math
 import random
 from bisect import bisect_right
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -61,8 +61,8 @@
 TAIL = 0.01  # of the recent answers may be late then: else it is load, and one more try feeds it
 STRAY = 0.02  # of the recent attempts; with fewer time-outs hardly an answer gets lost
 WAITS = 64  # of a class's latest tries; of these the wait of first ones is read
-FRESH = 0.75  # of them, as a quantile: of three tries a request one is a first, and few ask for longer
-WAIT_SLACK_MS = 10.0  # by which a wait may fall short of the usual one on its way and is still a first
+WAIT_STEP_MS = 8.0  # waits so near are one: on its way a try loses a little
+COMMON = 0.7  # of the tries with the commonest wait; one that so many share is a first try's, too
 LATEST = 0.5  # of the aim; a repeat with less than the mean latency left, or this, comes too late
 SPARE = 0.5  # of the burst; beyond it a try that comes too late takes nothing that others need
 FEW = 0.6  # of the ready servers; more suspects than this mean a slow back end, not lost servers
@@ -667,18 +667,21 @@
     def _late(self, now: float, event: api.Arrival) -> bool:
         """Whether this is a repeat that can hardly be answered within the aim, counted from the first try.
 
-        No try waits past the end of its request, so one that waits for less than most do is a repeat, and
-        what its wait falls short of the class's deadline has passed. A request that was long on its way shows
-        the same. It hurts clients whose first tries wait for less than others': taken for repeats, they get
-        what the customer's store can spare.
+        No try waits past the end of its request, so one that waits for less than first ones do is a repeat,
+        and what its wait falls short of the class's deadline has passed. A request that was long on its way
+        shows the same. It hurts clients whose first tries wait for less than others': taken for repeats, they
+        get what the customer's store can spare.
         """
         cls, waits, wait = self.settings.classes[event.cls], self.waits[event.cls], event.deadline_ms - now
         waits.append(wait)
-        usual = sorted(waits)[int(FRESH * len(waits))]
-        if len(waits) < FEWEST or wait >= usual - WAIT_SLACK_MS:
-            return False
         left = cls.aim_ms - (cls.deadline_ms - wait)
-        return left < min(self.fleet.mean_ms, LATEST * cls.aim_ms)
+        if left >= min(self.fleet.mean_ms, LATEST * cls.aim_ms) or len(waits) < FEWEST:
+            return False
+        # First tries wait alike, repeats for what is left of their time; last ones may wait for longer.
+        groups = Counter(round(each / WAIT_STEP_MS) for each in waits)
+        least = COMMON * max(groups.values())
+        first = min(group for group, size in groups.items() if size >= least)
+        return wait < (first - 1) * WAIT_STEP_MS
 
     def _may_repeat(self, request: Request, peer: Peer, now: float) -> bool:
         """The repeats rule, passed by every send."""
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -45,12 +45,14 @@
 
 
 def test_short_waits_are_no_sign_of_a_repeat_where_they_are_usual() -> None:
+    """Also where as many wait for longer: last tries do, as nothing comes after them."""
+
     async def test() -> None:
         async with backend(serve) as server:
             async with limiter(host("a", server.address), settings=SCARCE) as rig:
                 client = await rig.connect()
                 for n in range(12):
-                    assert await ask(client, f"other-{n}", 100 + n, LATE) == 200
+                    assert await ask(client, f"other-{n}", 100 + n, "99" if n % 2 else LATE) == 200
                 assert [await ask(client, f"first-{n}", 1, LATE) for n in range(3)] == [200] * 3
 
     run(test())
