A scarce store is kept for what is worth most

Cause: a customer beyond its quota is refused two tries in three, and which ones was left to chance, though a correction earns 5 and a read or upload 3 with the same unit. To blame: Customer.lets_in, the same for each class, and the settings' worth of a class (points), which was not read. Mend: interface.py and wire.py read it; Customer._kept leaves units in the store for dearer requests, more so the further the customer is beyond its quota. Nothing changes where all classes are worth the same.

--- a/ironstage/interface.py
+++ b/ironstage/interface.py
@@ -69,6 +69,7 @@
     stream: bool = False
     aim_stretch: float = 0.0
     name: str = ""
+    worth: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -53,6 +53,8 @@
 THEN_LEAST = 0.05  # the least share that a reading is divided by
 SHARE_KEEP = 0.85  # of that evidence kept a metered period: weights shift within tens of seconds
 SURE_ROOM = 0.25  # of the burst; with more than this left in the store the share is not asked
+KEPT = 0.25  # of the burst, times what a request's worth falls short of the dearest's: kept for such
+KEPT_OVER = 0.5  # of the same, times the root of what the let-in share falls short of 1
 DEBT = 1.0  # of the burst; how far below empty the store estimate may run
 LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
 QUICK = 0.25  # of the tightest aim; three in four answers within it are quick
@@ -357,7 +359,17 @@
         """Whether the store has so much left that these units will hardly be missed."""
         return self.plan.rate <= 0 or self.store.refill(now) - units >= SPARE * self.plan.burst
 
-    def lets_in(self, now: float, units: float, dice: float) -> bool:
+    def _kept(self, share: float, worth: float) -> float:
+        """Units that a request leaves in the store for dearer ones, by its worth as a part of the dearest's.
+
+        What a customer asks beyond its quota is refused anyhow; so it is the cheaper part. It also gives the
+        estimate a margin. It hurts a customer that asks for cheap things alone: that much of its burst, and
+        where it is beyond its quota a little of its rate, go unused.
+        """
+        over = KEPT_OVER * math.sqrt(1.0 - share)
+        return (KEPT + over) * (1.0 - worth) * self.plan.burst
+
+    def lets_in(self, now: float, units: float, dice: float, worth: float = 1.0) -> bool:
         """The let-in share; a store full enough passes without it where it rests on own sends."""
         share = self.share(now)
         self.asked = self.asked * math.exp((self.asked_at - now) / AGE_MS) + units
@@ -366,7 +378,7 @@
             return False
         if self.plan.rate <= 0:
             return dice < share
-        left = self.store.refill(now) - units
+        left = self.store.refill(now) - units - self._kept(share, worth)
         sure = self.part() * self.plan.burst >= OWN_LEAST and left >= SURE_ROOM * self.plan.burst
         return sure or (left >= 0.0 and dice < share)
 
@@ -595,6 +607,7 @@
         self.lossy = False
         self.strays = False  # some answers get lost though hardly one is late
         self.born, self.tidied = INF, 0.0
+        self.dearest = max((c.worth for c in settings.classes), default=0.0) or 1.0
         self.waits: list[deque[float]] = [deque(maxlen=WAITS) for _ in settings.classes]
         self.actions: list[api.Action] = []
         self.acts: dict[type, Callable[[float, Any], None]] = {
@@ -654,7 +667,7 @@
         self.requests[event.request] = request
         if in_time and self._late(now, event) and not customer.spares(now, event.units):
             self._answer(now, request)
-        elif customer.lets_in(now, event.units, self.rng.random()):
+        elif customer.lets_in(now, event.units, self.rng.random(), cls.worth / self.dearest):
             self.arrivals.append((now, request.lane, event.units))
             self.fleet.let_in.append(now)
             # Below the cap by less than one: by chance, which mixes the two whole thresholds beside it.
--- a/ironstage/wire.py
+++ b/ironstage/wire.py
@@ -317,6 +317,7 @@
         stream=row.flag("stream"),
         aim_stretch=row.number("aimStretch", 0),
         name=row.word("name", ""),
+        worth=row.number("points", 1),
     )
 
 
