The mean count out is freed of its start at none

Seen by a trace of the incident: 532 tries were refused by caps in the first window, most while over half of the store was left, and repeats come too late there (aims of 0.4 s), so customers with room were served late or never. To blame: Gateway._rerun scales the caps by mean_out, which begins at 0 and nears the true mean within WINDOW_MS (5 s) only: caps of 0.6 to 2 with 5 to 9 requests out. Mend: the mean is divided by the part of the window since the first request. It could hurt where a limiter starts into a jam: its caps are then as loose as what it let out so far.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -602,6 +602,7 @@
         self.low = [INF, INF, INF]  # light-load latency of lane one, lane two and both
         self.arrivals: deque[tuple[float, int, float]] = deque()
         self.mean_out, self.out_ms = 0.0, -INF
+        self.begun = INF  # when the first request came
         self.rerun_ms = -INF
         self.lost: deque[tuple[float, int, float]] = deque()  # as latencies, of time-outs
         self.lossy = False
@@ -655,6 +656,7 @@
 
     def _arrive(self, now: float, event: api.Arrival) -> None:
         """The ordinary path: let-in share, lane cap, server choice; what fails is refused at once."""
+        self.begun = min(self.begun, now)
         cls = self.settings.classes[event.cls]
         customer = self.customers.pop(event.customer, None)
         if customer is None:
@@ -857,7 +859,9 @@
         found = next((pair for pair in tries if pair is not None), None)
         if found is None:
             return
-        scale = max(1e-3, self.mean_out * (1.0 - load) / load)
+        # Counted from nothing the mean would be low for seconds, and the caps with it.
+        counted = 1.0 - math.exp((self.begun - now) / WINDOW_MS)
+        scale = max(1e-3, self.mean_out / counted * (1.0 - load) / load)
         caps = (max(LEAST_CAP, found[0] * scale), max(LEAST_CAP, found[1] * scale))
         if (min(caps) < INF) != (min(self.caps) < INF):
             self.actions.append(api.Log(f"lane caps {caps[0]:.1f} {caps[1]:.1f} at load {load:.2f}"))
