The lag of the meter is learned from misses against their usual size

To blame: MeterClock.learn sums squared units, so the few largest customers decide, by noise and by a part that moved. Ruled out: the phase of the readings (within 60 ms), unreadable or absurd figures (none). Mend: each miss counts against the spread that chance and a misjudged part give it.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -33,7 +33,8 @@
 LAG_STEP_MS = 100.0  # ms; the lag between a period's end and its use being heard is sought in steps
 LAG_STEPS = 30  # of these; a meter later than this is not followed
 LAG_START = 8  # steps; the guess before evidence
-LAG_PULL = 0.1  # squared units for each squared step from that guess; breaks ties only
+PART_ERROR = 0.3  # of our part of a customer, by which it may be misjudged
+LAG_PULL = 0.1  # of a miss's usual size for each squared step from that guess; breaks ties only
 PHASE_KEEP = 0.95  # of the evidence on when readings change kept at each change; not varied
 LAG_KEEP = 0.995  # of the evidence kept a reading: some hundred readings decide
 HISTORY_MS = 10000.0  # ms; own first sends kept of a customer, at least: the meter's lag in view
@@ -214,12 +215,17 @@
         return end - self.period, end
 
     def learn(self, now: float, customer: Customer, whole: float) -> None:
-        """Score each lag by how well our sends, scaled by our part, foretell the reading."""
+        """Score each lag by how well our sends, scaled by our part, foretell the reading.
+
+        Each miss counts against what chance and a misjudged part make of it (binomial own sends): else the
+        few largest customers decide, by noise. It hurts where the large ones alone are steady.
+        """
         moved, part = self.moved(now), customer.part()
+        spread = 1.0 + whole * (1.0 - part) / part + (PART_ERROR * whole / part) ** 2
         for step in range(LAG_STEPS):
             end = moved - step * LAG_STEP_MS
             own = customer.drawn(end)[0] - customer.drawn(end - self.period)[0]
-            self.errors[step] = self.errors[step] * LAG_KEEP + (own / part - whole) ** 2
+            self.errors[step] = self.errors[step] * LAG_KEEP + (own / part - whole) ** 2 / spread
 
 
 class Customer:
