The package is basaltpoint, by concern; the decision module is basaltpoint/policy

Need: the program was two flat folders under an inherited name; nothing new could stand on it.

Change: files moved with their history into daemon, fronts/platform, sim, upstream, membership, config and policy (thresholds, quota, fleet, gateway).

--- /dev/null
+++ b/basaltpoint/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, read and checked."""
--- /dev/null
+++ b/basaltpoint/config/address.py
@@ -0,0 +1,19 @@
+"""Addresses as settings write them."""
+
+from __future__ import annotations
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """A variable or file that does not describe a limiter; says what is wrong."""
+
+
+def parse_address(text: object) -> Address:
+    """`host:port` with a literal address; an IPv6 one stands in brackets."""
+    if not isinstance(text, str):
+        raise ConfigError(f"not an address: {text!r}")
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"not an address of the form host:port: {text!r}")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/basaltpoint/config/settings.py
@@ -0,0 +1,147 @@
+"""The platform's settings object, as the simulator's first message and the JSON file give it."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from basaltpoint import interface as api
+
+EFFECTS = {
+    "idempotent": api.Effect.SAFE,
+    "deduplicated": api.Effect.KEYED,
+    "at_most_once": api.Effect.UNSAFE,
+}
+REPORT_NAMES = {
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "util",
+    "lat_ms": "latency_ms",
+    "rate": "qps",
+    "fail_rate": "eps",
+}
+
+
+class SettingsError(ValueError):
+    """A settings text that does not describe a limiter; says what and where."""
+
+
+class _Table:
+    """A settings object that names the path of a key that is missing or of a wrong type."""
+
+    def __init__(self, raw: Any, path: str) -> None:
+        if not isinstance(raw, dict):
+            raise SettingsError(f"settings: {path or 'the text'} is not an object")
+        self.raw = raw
+        self.path = path
+
+    def _name(self, key: str) -> str:
+        return f"{self.path}.{key}" if self.path else key
+
+    def table(self, key: str) -> _Table:
+        if key not in self.raw:
+            raise SettingsError(f"settings: {self._name(key)} is missing")
+        return _Table(self.raw[key], self._name(key))
+
+    def tables(self, key: str) -> list[_Table]:
+        rows = self.raw.get(key)
+        if not isinstance(rows, list):
+            raise SettingsError(f"settings: {self._name(key)} is missing or not a list")
+        return [_Table(row, f"{self._name(key)}[{i}]") for i, row in enumerate(rows)]
+
+    def number(self, key: str, default: float | None = None) -> float:
+        value = self.raw.get(key, default)
+        if value is None:
+            raise SettingsError(f"settings: {self._name(key)} is missing")
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise SettingsError(f"settings: {self._name(key)} is not a number")
+        return float(value)
+
+    def flag(self, key: str) -> bool:
+        value = self.raw.get(key, False)
+        if not isinstance(value, bool):
+            raise SettingsError(f"settings: {self._name(key)} is not true or false")
+        return value
+
+    def word(self, key: str, default: str | None = None) -> str:
+        value = self.raw.get(key, default)
+        if not isinstance(value, str):
+            raise SettingsError(f"settings: {self._name(key)} is missing or not a text")
+        return value
+
+
+def _request_class(row: _Table) -> api.RequestClass:
+    effect, scope = row.word("effect"), row.word("dedupScope", "all")
+    if effect not in EFFECTS:
+        raise SettingsError(f"settings: {row.path}.effect is unknown: {effect}")
+    if scope not in {s.value for s in api.Scope}:
+        raise SettingsError(f"settings: {row.path}.dedupScope is unknown: {scope}")
+    return api.RequestClass(
+        aim_ms=row.number("aimMs"),
+        deadline_ms=row.number("hardLimitMs"),
+        effect=EFFECTS[effect],
+        scope=api.Scope(scope),
+        window_ms=row.number("windowMs", 0),
+        late_worth=row.number("lateWorth", 0),
+        stream=row.flag("stream"),
+        aim_stretch=row.number("aimStretch", 0),
+        name=row.word("name", ""),
+        worth=row.number("points", 1),
+    )
+
+
+def _plan(row: _Table) -> api.Plan:
+    return api.Plan(
+        rate=row.number("rate", 0),
+        burst=row.number("mostAtOnce", 0),
+        parallel=int(row.number("parallel", 0)),
+        ceiling_rate=row.number("capRate", 0),
+        ceiling_depth=row.number("neverOverDepth", 0),
+        ceiling_slack=row.number("capSlack", 0),
+        over_worth=row.number("overWorth", 0),
+        over_cost=row.number("beyondCosts", 0),
+        name=row.word("name", ""),
+    )
+
+
+def _fields(report: _Table) -> tuple[str, ...]:
+    raw = report.raw.get("fields", [])
+    if not isinstance(raw, list):
+        raise SettingsError("settings: report.fields is not a list")
+    return tuple(REPORT_NAMES.get(str(name), str(name)) for name in raw)
+
+
+def parse_settings(text: bytes) -> api.Settings:
+    """The settings that the module acts on; keys it does not know are ignored."""
+    try:
+        root = _Table(json.loads(text), "")
+    except ValueError as error:
+        if isinstance(error, SettingsError):
+            raise
+        raise SettingsError(f"settings: not JSON: {error}") from None
+    rules, limits = root.table("guarantees"), root.table("ceilings")
+    extra = root.table("specifics") if "specifics" in root.raw else _Table({}, "specifics")
+    report = root.table("report") if "report" in root.raw else _Table({}, "report")
+    return api.Settings(
+        me=int(root.number("me")),
+        gateways=int(root.number("balancers")),
+        zone=int(root.number("myZone", 0)),
+        classes=tuple(_request_class(row) for row in root.tables("services")),
+        plans=tuple(_plan(row) for row in root.tables("contracts")),
+        cold_from=rules.number("coldFrom"),
+        cold_ms=rules.number("coldMs"),
+        tip_multiple=rules.number("tipMultiple"),
+        fall_ms=rules.number("fallMs"),
+        drain_grace_ms=rules.number("drainGraceMs"),
+        ask_within_ms=rules.number("askWithinMs", 0),
+        meter_ms=extra.number("meteringMs", 0),
+        post_paid=extra.flag("postPaid"),
+        max_attempts=int(limits.number("maxAttempts")),
+        second_copies=limits.flag("secondCopies"),
+        may_cancel=limits.flag("cancel"),
+        may_probe=limits.flag("probing"),
+        advice_ms=limits.number("maxRetryAfterMs", 0) if limits.flag("retryAfter") else 0.0,
+        must_subscribe=root.word("registryMode", "automatic") == "subscribe",
+        report_fields=_fields(report),
+        most_units=extra.number("mostUnits", 0),
+    )
--- /dev/null
+++ b/basaltpoint/core/__init__.py
@@ -0,0 +1,1 @@
+"""The request table: events and the time in, actions out."""
--- /dev/null
+++ b/basaltpoint/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Putting parts together: start, reload, drain."""
--- a/ironstage/__main__.py
+++ b/basaltpoint/daemon/platform.py
@@ -1,4 +1,4 @@
-"""`python -m ironstage`: one limiter, until SIGTERM."""
+"""The platform's limiter: put together from `GW_CONFIG`, served until SIGTERM."""
 
 from __future__ import annotations
 
@@ -7,16 +7,16 @@
 import logging
 import os
 import signal
-import sys
 
 import uvloop
 
-from ironstage.net import config as configuration
-from ironstage.net.clients import Clients
-from ironstage.net.discovery import Watch
-from ironstage.net.limiter import MARGIN, SERVER_PART, Limiter
+from basaltpoint.config.address import ConfigError
+from basaltpoint.fronts.platform import config as configuration
+from basaltpoint.fronts.platform.clients import Clients
+from basaltpoint.fronts.platform.limiter import MARGIN, SERVER_PART, Limiter
+from basaltpoint.membership.discovery import Watch
 
-log = logging.getLogger("ironstage")
+log = logging.getLogger("basaltpoint")
 
 SWEEP_S = 0.25
 
@@ -32,7 +32,7 @@
     """Take up the replaced file; one that can't be read leaves all as it is."""
     try:
         address = configuration.reload_discovery(os.environ)
-    except configuration.ConfigError as error:
+    except ConfigError as error:
         log.error("the configuration stays as it was: %s", error)
         return
     log.info("discovery is at %s:%d", *address)
@@ -65,7 +65,7 @@
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         config = configuration.load(os.environ)
-    except configuration.ConfigError as error:
+    except ConfigError as error:
         log.error("%s", error)
         return 2
     # The start's objects stay for good; searching them again and again would stall requests.
@@ -73,7 +73,3 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(serve(config))
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/basaltpoint/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The ways in: bytes to arrivals, decisions to answers."""
--- /dev/null
+++ b/basaltpoint/fronts/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's way in: PROTOCOL's headers over HTTP/1.1."""
--- a/ironstage/net/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -15,9 +15,9 @@
 
 import httptools
 
-from ironstage.interface import Effect, Settings
-from ironstage.net.config import Address
-from ironstage.net.limiter import Limiter, Terms
+from basaltpoint.config.address import Address
+from basaltpoint.fronts.platform.limiter import Limiter, Terms
+from basaltpoint.interface import Effect, Settings
 
 log = logging.getLogger(__name__)
 
--- a/ironstage/net/config.py
+++ b/basaltpoint/fronts/platform/config.py
@@ -7,10 +7,9 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from ironstage import interface as api
-from ironstage.wire import WireError, parse_settings
-
-Address = tuple[str, int]
+from basaltpoint import interface as api
+from basaltpoint.config.address import Address, ConfigError, parse_address
+from basaltpoint.config.settings import SettingsError, parse_settings
 
 SOCKETS = 1024  # descriptors; what DEPLOY grants on the days that count, where the file is silent
 MEMORY_MB = 192.0  # what DEPLOY grants at most on those days
@@ -23,10 +22,6 @@
 MAX_OPEN = 1000  # requests in hand: with bodies of 64 KiB at either end they stay within the memory
 
 
-class ConfigError(ValueError):
-    """A variable or file that does not describe a limiter; says what is wrong."""
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -43,16 +38,6 @@
     known: Any  # the last list of servers, in discovery's form
 
 
-def parse_address(text: object) -> Address:
-    """`host:port` with a literal address; an IPv6 one stands in brackets."""
-    if not isinstance(text, str):
-        raise ConfigError(f"not an address: {text!r}")
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise ConfigError(f"not an address of the form host:port: {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def _object(raw: Any, key: str) -> dict[str, Any]:
     value = raw.get(key, {})
     if not isinstance(value, dict):
@@ -104,7 +89,7 @@
     ceilings = _object(settings, "ceilings")
     try:
         decoded = parse_settings(json.dumps(settings).encode())
-    except WireError as error:
+    except SettingsError as error:
         raise ConfigError(str(error)) from None
     zones = settings.get("zones", [])
     return Config(
--- a/ironstage/net/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -13,12 +13,12 @@
 from functools import partial
 from typing import Protocol
 
-from ironstage import interface as api
-from ironstage.interface import ServerState, Status
-from ironstage.logic import Gateway
-from ironstage.net.config import Config
-from ironstage.net.discovery import Host, HostList, parse_list
-from ironstage.net.servers import TIMER_S, Attempt, Reply, Servers
+from basaltpoint import interface as api
+from basaltpoint.fronts.platform.config import Config
+from basaltpoint.interface import ServerState, Status
+from basaltpoint.membership.discovery import Host, HostList, parse_list
+from basaltpoint.policy import Gateway
+from basaltpoint.upstream.servers import TIMER_S, Attempt, Reply, Servers
 
 log = logging.getLogger(__name__)
 
--- a/ironstage/interface.py
+++ b/basaltpoint/interface.py
@@ -1,7 +1,7 @@
 """The interface of the decision module: settings, events and actions.
 
 Times are milliseconds of the caller's clock. Nothing here depends on a wire
-format, and nothing here decides: `ironstage.logic` does.
+format, and nothing here decides: `basaltpoint.policy` does.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/basaltpoint/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who serves: the lists of servers and what changes them."""
--- a/ironstage/net/discovery.py
+++ b/basaltpoint/membership/discovery.py
@@ -12,8 +12,8 @@
 
 import httptools
 
-from ironstage import interface as api
-from ironstage.net.config import Address, ConfigError, parse_address
+from basaltpoint import interface as api
+from basaltpoint.config.address import Address, ConfigError, parse_address
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/basaltpoint/policy/fleet.py
@@ -0,0 +1,193 @@
+"""The servers as this gateway sees them: health by silence, slow start, and the choice among them."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from basaltpoint import interface as api
+from basaltpoint.interface import ServerState, Status
+from basaltpoint.policy.thresholds import INF
+
+# --- Constants: unit, reason -------------------------------------------------------------------
+WINDOW_MS = 5000.0  # ms; latency window: some hundred completions at tens of requests a second
+FEW = 0.6  # of the ready servers; more suspects than this mean a slow back end, not lost servers
+REFERENCE_MS = 200.0  # ms; mean latency before anything was measured
+RETEST_MS = 1000.0  # ms; first wait before a suspect gets a trial, doubled up to 8 times
+ERRORS = 2  # with no good answer between; a server that fails at once looks free and draws all traffic
+FULL_MS = 200.0  # ms; a server that turned a request away is left alone this long
+COLD_PART = 0.8  # of the allowance of a cold server that we use: room for chance
+BUSY_WEIGHT = 2.0  # requests that a wholly busy report counts for; 0 and 6 were no better
+LOOKS = 12  # random servers looked at for a send
+USUAL_PART = 0.1  # of a report that goes into the usual load, which stands for a missing or old one
+ZONE_MISSES = 3  # failures with no answer from a zone between; it is then left alone but for trials
+REPORT_MS = 1500.0  # ms; a load report older than this says nothing
+
+
+@dataclass(slots=True)
+class Peer:
+    """A server as this gateway sees it."""
+
+    entry: api.Server
+    told_ms: float
+    waiting: int = 0
+    heard_ms: float = -INF
+    suspect: bool = False
+    retest_ms: float = 0.0
+    backoff: int = 0
+    errors: int = 0  # since its last good answer
+    avoid_ms: float = -INF
+    load: float = 0.0
+    load_ms: float = -INF
+    allowance: float = 0.0
+    filled_ms: float = 0.0
+
+
+class Fleet:
+    """The list, health by silence, slow start of cold servers, and the choice among them."""
+
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.peers: dict[int, Peer] = {}
+        self.ready: list[Peer] = []
+        self.suspects: dict[int, Peer] = {}
+        self.missed: dict[int, tuple[int, float]] = {}  # of a zone: failures since its last answer, when
+        self.mean_ms = REFERENCE_MS
+        self.usual = 0.0
+        self.let_in: deque[float] = deque()
+
+    def update(self, now: float, event: api.ServerList) -> None:
+        """Apply a list event; a complete list drops what it does not name."""
+        if event.kind is api.ListKind.FAILED:
+            return
+        named = {entry.id for entry in event.servers}
+        if event.kind is not api.ListKind.DELTA:
+            for known in self.peers.values():
+                if known.entry.id not in named:
+                    known.entry = replace(known.entry, state=ServerState.GONE)
+        for entry in event.servers:
+            peer = self.peers.get(entry.id)
+            if peer is None or entry.started_ms > peer.entry.started_ms:
+                # A new process: nothing known of the old one holds. Its first send is due at random,
+                # so that hundreds of gateways, each of which earns less than one, add up to their part.
+                waiting = peer.waiting if peer else 0
+                self.peers[entry.id] = Peer(entry, now, waiting=waiting, allowance=self.rng.random())
+            else:
+                peer.entry = entry
+        self.peers = {
+            ident: peer
+            for ident, peer in self.peers.items()
+            if peer.entry.state is not ServerState.GONE or peer.waiting > 0
+        }
+        self.ready = [peer for peer in self.peers.values() if peer.entry.state is ServerState.READY]
+        self.suspects = {peer.entry.id: peer for peer in self.ready if peer.suspect}
+
+    def warmth(self, peer: Peer, now: float) -> float:
+        """The part of its capacity a server surely has: from cold_from, evenly over cold_ms."""
+        if peer.entry.started_ms <= 0 or self.settings.cold_ms <= 0:
+            return 1.0
+        age = max(0.0, now - peer.entry.started_ms) / self.settings.cold_ms
+        return min(1.0, self.settings.cold_from + (1.0 - self.settings.cold_from) * age)
+
+    def _fill(self, peer: Peer, now: float) -> float:
+        """Slow start, for the cold rule: a cold server earns its warm part of a server's usual flow."""
+        self.trim(now)
+        flow = len(self.let_in) / WINDOW_MS / max(1, len(self.ready))
+        gained = (now - max(peer.filled_ms, peer.told_ms)) * flow * COLD_PART * self.warmth(peer, now)
+        peer.allowance = min(1.0, peer.allowance + gained)
+        peer.filled_ms = now
+        return peer.allowance
+
+    def trim(self, now: float) -> None:
+        while self.let_in and self.let_in[0] < now - WINDOW_MS:
+            self.let_in.popleft()
+
+    def usable(self, peer: Peer, now: float) -> bool:
+        """Whether the drain and cold rules let a new attempt go to this server."""
+        if peer.entry.state is not ServerState.READY:
+            return False
+        warm = self.warmth(peer, now)
+        return warm >= 1.0 or (self._fill(peer, now) >= 1.0 and peer.waiting < 1 + 4 * warm)
+
+    def cost(self, peer: Peer, now: float) -> float:
+        """Least outstanding requests, weighed by size and what its reports say; a cold send due is due."""
+        if self.warmth(peer, now) < 1.0:
+            return 0.0
+        size = max(1e-3, peer.entry.rating)
+        fresh = max(0.0, 1.0 - (now - peer.load_ms) / REPORT_MS)
+        load = self.usual + fresh * (peer.load - self.usual)  # no report is not idleness
+        return (1.0 + peer.waiting + load) / size
+
+    def choose(self, now: float, allowed: Callable[[Peer], bool], avoid: set[int]) -> Peer | None:
+        """The cheapest of a few random servers, against herding; suspects only where no other is left."""
+
+        def rank(peer: Peer) -> tuple[bool, float]:
+            # A zone cut off or restarting at once: with many gateways nobody can try each of its servers.
+            missed, last = self.missed.get(peer.entry.zone, (0, 0.0))
+            cut = missed >= ZONE_MISSES and now < last + RETEST_MS
+            shunned = (peer.suspect and now < peer.retest_ms) or peer.avoid_ms > now or peer.entry.id in avoid
+            return shunned or cut, self.cost(peer, now)
+
+        for pool in (self.rng.sample(self.ready, min(LOOKS, len(self.ready))), self.ready):
+            fit = [(rank(peer), peer) for peer in pool if self.usable(peer, now) and allowed(peer)]
+            best = min(fit, key=lambda pair: pair[0], default=None)
+            if best and not best[0][0]:
+                break
+        return best[1] if best else None
+
+    def heard(self, now: float, event: api.Outcome) -> None:
+        """Learn from an attempt's end; any answer clears a suspicion."""
+        if (peer := self.peers.get(event.server)) is None:
+            return
+        peer.waiting -= 1
+        if peer.entry.state is ServerState.GONE:
+            if peer.waiting <= 0:
+                del self.peers[event.server]
+            return
+        if event.status in (Status.OK, Status.ERROR, Status.FULL):
+            peer.heard_ms = now
+            self.missed.pop(peer.entry.zone, None)
+        if event.status in (Status.OK, Status.ERROR, Status.FULL, Status.RESET):
+            # A reset may be the connection's own end; a process that died refuses the next one, too.
+            if event.status is not Status.FULL:
+                peer.errors = 0 if event.status is Status.OK else peer.errors + 1
+            if peer.errors >= ERRORS:
+                self.doubt(peer, now)
+            elif event.status is not Status.RESET:
+                self.clear(peer)
+        # Silence while it had work is the sign of a vanished server, a refused connection of a lost one.
+        silent = event.status is Status.TIMEOUT and peer.heard_ms < now - event.elapsed_ms
+        if event.status is Status.FULL:
+            peer.avoid_ms = now + FULL_MS
+        elif silent or event.status is Status.CONNECT_FAILED:
+            self.doubt(peer, now)
+            self.missed[peer.entry.zone] = self.missed.get(peer.entry.zone, (0, now))[0] + 1, now
+        self.report(now, event.server, event.report)
+
+    def report(self, now: float, server: int, values: tuple[float, ...]) -> None:
+        """Read a load report: requests in hand or queued, else how busy its cores are."""
+        peer = self.peers.get(server)
+        if peer is None or not values:
+            return
+        seen = dict(zip(self.settings.report_fields, values, strict=False))
+        held = seen.get("inflight", seen.get("queue", 0.0))
+        peer.load = held + BUSY_WEIGHT * min(1.0, seen.get("util", 0.0)) ** 2
+        peer.load_ms = now
+        self.usual += USUAL_PART * (peer.load - self.usual)
+
+    def clear(self, peer: Peer) -> None:
+        peer.suspect, peer.backoff = False, 0
+        self.suspects.pop(peer.entry.id, None)
+
+    def doubt(self, peer: Peer, now: float) -> None:
+        peer.suspect = True
+        self.suspects[peer.entry.id] = peer
+        peer.retest_ms = now + RETEST_MS * 2 ** min(3, peer.backoff)
+        peer.backoff += 1
+
+    def all_slow(self) -> bool:
+        """Whether most are suspect: a jam, whose time-outs are latencies. It hurts if most truly vanished."""
+        return len(self.suspects) > FEW * len(self.ready)
--- /dev/null
+++ b/basaltpoint/policy/quota.py
@@ -0,0 +1,254 @@
+"""Quotas: the metered let-in share, the estimate of a customer's store and its ceiling."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from dataclasses import dataclass
+
+from basaltpoint import interface as api
+from basaltpoint.policy.thresholds import INF
+
+# --- Constants: unit, reason -------------------------------------------------------------------
+LAG_STEP_MS = 100.0  # ms; the lag between a period's end and its use being heard is sought in steps
+LAG_STEPS = 30  # of these; a meter later than this is not followed
+LAG_START = 8  # steps; the guess before evidence
+PART_ERROR = 0.15  # of our part of a customer, by which it may be misjudged
+LAG_PULL = 0.1  # of a miss's usual size for each squared step from that guess; breaks ties only
+PHASE_KEEP = 0.95  # of the evidence on when readings change kept at each change; not varied
+LAG_KEEP = 0.995  # of the evidence kept a reading: some hundred readings decide
+HISTORY_MS = 10000.0  # ms; own first sends kept of a customer, at least: the meter's lag in view
+SHARE_PRIOR = 8.0  # units; weight of "evenly spread" against metered evidence of our share
+OWN_LEAST = 1.0  # units of a burst that are ours; with fewer, own sends tell nothing of the store
+PRIOR_USE = 1.0  # of the rate; what a customer is taken to use before its meter was read
+PRIOR_UNITS = 0.3  # units that this guess weighs
+READING_KEEP = 0.5  # of the earlier readings' weight kept at a new one
+STORE_USE = 0.7  # of the rate; what the others are taken to draw together
+STORE_UNITS = 0.7  # units that this guess weighs
+FORGET_MS = 40000.0  # ms; a customer idle so long, its stores full, has nothing left to remember
+LIGHT_MS = 10000.0  # ms; nor has one idle so long of whom little more than one try was seen
+LIGHT_UNITS = 1.0  # of tries and metered use, faded; up to that it is little
+AGE_MS = 20000.0  # ms; readings lose weight over such times: customers change their ways
+THEN_LEAST = 0.05  # the least share that a reading is divided by
+SHARE_KEEP = 0.85  # of that evidence kept a metered period: weights shift within tens of seconds
+SURE_ROOM = 0.25  # of the burst; with more than this left in the store the share is not asked
+KEPT = 0.1  # of the burst, times what a request's worth falls short of the dearest's: kept for such
+KEPT_OVER = 0.5  # of the same, times the root of what the let-in share falls short of 1
+DEBT = 1.0  # of the burst; how far below empty the store estimate may run
+SPARE = 0.5  # of the burst; beyond it a try that comes too late takes nothing that others need
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """A store that fills at a rate (units a second) up to a depth."""
+
+    rate: float
+    depth: float
+    level: float
+    at: float
+
+    def refill(self, now: float) -> float:
+        self.level = min(self.depth, self.level + self.rate * (now - self.at) / 1000.0)
+        self.at = now
+        return self.level
+
+
+class MeterClock:
+    """Learns which period a reading speaks of; else sends of another would mend the store."""
+
+    def __init__(self, period: float) -> None:
+        self.period = period
+        self.errors = [(step - LAG_START) ** 2 * LAG_PULL for step in range(LAG_STEPS)]
+        self.sine = self.cosine = 0.0
+
+    def changed(self, before: float, now: float) -> None:
+        """A customer's reading changed between two answers: the meter moved on in between."""
+        if now - before < self.period / 4:
+            angle = math.tau * ((before + now) / 2 % self.period) / self.period
+            self.sine = PHASE_KEEP * self.sine + math.sin(angle)
+            self.cosine = PHASE_KEEP * self.cosine + math.cos(angle)
+
+    def moved(self, now: float) -> float:
+        """When the present readings came out."""
+        phase = math.atan2(self.sine, self.cosine) / math.tau * self.period
+        return now - (now - phase) % self.period
+
+    def window(self, now: float) -> tuple[float, float]:
+        """Start and end of the period that a reading heard now speaks of."""
+        best = min(range(LAG_STEPS), key=lambda step: self.errors[step])
+        end = self.moved(now) - best * LAG_STEP_MS
+        return end - self.period, end
+
+    def learn(self, now: float, customer: Customer, whole: float) -> None:
+        """Score each lag by how well our sends, scaled by our part, foretell the reading.
+
+        Each miss counts against what chance and a misjudged part make of it (binomial own sends): else the
+        few largest customers decide, by noise. It hurts where the large ones alone are steady.
+        """
+        moved, part = self.moved(now), customer.part()
+        spread = 1.0 + whole * (1.0 - part) / part + (PART_ERROR * whole / part) ** 2
+        for step in range(LAG_STEPS):
+            end = moved - step * LAG_STEP_MS
+            own = customer.drawn(end)[0] - customer.drawn(end - self.period)[0]
+            self.errors[step] = self.errors[step] * LAG_KEEP + (own / part - whole) ** 2 / spread
+
+
+class Customer:
+    """What this gateway holds of one customer: the let-in share and an estimate of the store.
+
+    The store estimate is an exception to the let-in share: for bursts that the store covers, spikes
+    that the meter cannot tell yet and missing readings. It can hurt when our part is misjudged.
+    """
+
+    __slots__ = (
+        "anchor",
+        "asked",
+        "asked_at",
+        "born",
+        "ceiling",
+        "doors",
+        "heard_at",
+        "log",
+        "out",
+        "own",
+        "plan",
+        "read_at",
+        "seen",
+        "store",
+        "usage",
+        "used",
+        "whole",
+    )
+
+    def __init__(self, plan: api.Plan, doors: int, now: float, born: float = 0.0) -> None:
+        self.plan = plan
+        self.doors = max(1, doors)
+        self.store = TokenBucket(plan.rate, plan.burst, plan.burst, now)
+        self.seen = self.used = 0.0  # weighted time metered, and units used in it
+        self.asked, self.asked_at, self.born = 0.0, now, born
+        # Alone within 1/doors of the ceiling; empty when this gateway started, as its last life may have
+        # drawn all, and filled since then: nothing of this customer was sent on.
+        began = min(born, now)
+        self.ceiling = TokenBucket(
+            plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors, 0.0, began
+        )
+        # Of own first sends: time, running sums of units, and of units with the others' share.
+        self.log = [(-INF, 0.0, 0.0)]
+        self.anchor = (plan.burst, now)  # store estimate at the end of the last metered period
+        self.heard_at = self.read_at = -INF
+        self.own = self.whole = 0.0
+        self.usage: int | None = None
+        self.out = 0
+
+    def part(self) -> float:
+        """Our part of the customer's traffic, learned from the meter; even before evidence."""
+        prior = SHARE_PRIOR / self.doors
+        return min(1.0, (self.own + prior) / (self.whole + SHARE_PRIOR))
+
+    def share(self, now: float) -> float:
+        """The let-in share: the rate over the use that readings, own tries and a thin guess foretell.
+
+        All fade, so that what a rarely seen customer once did does not bind it (Gamma-Poisson).
+        """
+        if self.plan.rate <= 0:
+            return min(1.0, 100.0 / (self.usage or 100.0))
+        weight, rate = math.exp((self.read_at - now) / AGE_MS), self.plan.rate / 1000.0
+        units = PRIOR_UNITS + self.used * weight + self.asked * math.exp((self.asked_at - now) / AGE_MS)
+        watched = self.part() * AGE_MS * (1.0 - math.exp((self.born - now) / AGE_MS))
+        return min(1.0, rate * (PRIOR_UNITS / (PRIOR_USE * rate) + self.seen * weight + watched) / units)
+
+    def unseen(self) -> tuple[float, float]:
+        """What the others draw in a burst's time for each own unit, and units a ms besides (as share)."""
+        part, rate = self.part(), max(1e-9, self.plan.rate / 1000.0)
+        weight = STORE_UNITS / (STORE_USE * rate) + part * self.plan.burst / rate
+        return (1.0 - part) * self.plan.burst / rate / weight, (1.0 - part) * STORE_UNITS / weight
+
+    def draw(self, now: float, units: float) -> None:
+        """Book a first send: the others draw in proportion, unseen."""
+        lump, besides = self.unseen()
+        taken = units * (1.0 + lump)
+        self.store.rate = self.plan.rate - 1000.0 * besides
+        self.store.refill(now)
+        self.store.level = max(-DEBT * self.plan.burst, self.store.level - taken)
+        self.log.append((now, self.log[-1][1] + units, self.log[-1][2] + taken))
+        half = len(self.log) // 2
+        if half > 8 and self.log[half][0] < now - HISTORY_MS:
+            del self.log[:half]
+        if self.plan.ceiling_rate > 0:
+            self.ceiling.level -= units
+
+    def forgettable(self, now: float, pressed: bool) -> bool:
+        """Whether one made anew would stand as this one does; when pressed the ceiling alone counts."""
+        if self.out or self.ceiling.refill(now) < self.ceiling.depth:
+            return False
+        faded = self.asked * math.exp((self.asked_at - now) / AGE_MS)
+        light = max(faded, self.whole) <= LIGHT_UNITS
+        idle = now - self.asked_at >= (LIGHT_MS if light else FORGET_MS)
+        return pressed or (idle and self.store.refill(now) >= self.store.depth)
+
+    def drawn(self, until: float) -> tuple[float, float]:
+        """Units of own first sends up to then, without and with the others', from some origin."""
+        return self.log[max(0, bisect_right(self.log, (until, INF, INF)) - 1)][1:]
+
+    def meter(self, now: float, usage: int, clock: MeterClock) -> None:
+        """Take one reading a metered period: set the let-in share, mend the store estimate."""
+        before, self.heard_at = self.heard_at, now
+        if usage == self.usage and self.read_at >= clock.moved(now):
+            return
+        if usage != self.usage and self.usage is not None:
+            clock.changed(before, now)
+        then, last = max(THEN_LEAST, self.share(now)), self.read_at  # use is the outcome of that share
+        self.usage, self.read_at, period = usage, now, clock.period
+        start, end = clock.window(now)
+        whole = usage / 100.0 * self.plan.rate * period / 1000.0
+        keep = READING_KEEP * math.exp((last - now) / AGE_MS)
+        self.seen = self.seen * keep + period
+        self.used = self.used * keep + whole / then
+        if self.plan.rate <= 0:
+            return
+        clock.learn(now, self, whole)
+        own = self.drawn(end)[0] - self.drawn(start)[0]
+        self.own = self.own * SHARE_KEEP + min(own, whole)
+        self.whole = self.whole * SHARE_KEEP + whole
+        self._anchor(now, start, end, whole)
+
+    def _anchor(self, now: float, start: float, end: float, whole: float) -> None:
+        """Replay the store: the metered use up to a period's end, our foretelling since then."""
+        rate, burst = self.plan.rate / 1000.0, self.plan.burst
+        level, at = self.anchor
+        if start < at - (end - start) / 2:
+            return
+        taken = [self.drawn(t)[1] for t in (at, start, end)]
+        net = rate - self.unseen()[1]
+        level = min(burst, max(0.0, level + net * (start - at) - (taken[1] - taken[0])))
+        level = min(burst, max(0.0, level + rate * (end - start) - whole))
+        self.anchor = (level, end)
+        left = level + net * (now - end) - (self.log[-1][2] - taken[2])
+        self.store.level, self.store.at = min(burst, max(-DEBT * burst, left)), now
+
+    def spares(self, now: float, units: float) -> bool:
+        """Whether the store has so much left that these units will hardly be missed."""
+        return self.plan.rate <= 0 or self.store.refill(now) - units >= SPARE * self.plan.burst
+
+    def _kept(self, share: float, worth: float) -> float:
+        """Units that a request leaves in the store for dearer ones, by its worth as a part of the dearest's.
+
+        What a customer asks beyond its quota is refused anyhow; so it is the cheaper part. It also gives the
+        estimate a margin. It hurts a customer that asks for cheap things alone: that much of its burst, and
+        where it is beyond its quota a little of its rate, go unused.
+        """
+        over = KEPT_OVER * math.sqrt(1.0 - share)
+        return (KEPT + over) * (1.0 - worth) * self.plan.burst
+
+    def lets_in(self, now: float, units: float, dice: float, worth: float = 1.0) -> bool:
+        """The let-in share; a store full enough passes without it where it rests on own sends."""
+        share = self.share(now)
+        self.asked = self.asked * math.exp((self.asked_at - now) / AGE_MS) + units
+        self.asked_at = now
+        if self.plan.parallel and self.out / self.part() >= self.plan.parallel and self.out:
+            return False
+        if self.plan.rate <= 0:
+            return dice < share
+        left = self.store.refill(now) - units - self._kept(share, worth)
+        sure = self.part() * self.plan.burst >= OWN_LEAST and left >= SURE_ROOM * self.plan.burst
+        return sure or (left >= 0.0 and dice < share)
--- /dev/null
+++ b/basaltpoint/sim/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire and its adapter."""
--- a/ironstage/drill.py
+++ b/basaltpoint/sim/adapter.py
@@ -1,4 +1,4 @@
-"""`python -m ironstage.drill`: the decision module on the simulator's wire."""
+"""The adapter: isolated gateways behind the simulator's wire on standard input and output."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 import traceback
 from typing import BinaryIO
 
-from ironstage import interface as api
-from ironstage import wire
-from ironstage.logic import Gateway
+from basaltpoint import interface as api
+from basaltpoint.policy import Gateway
+from basaltpoint.sim import wire
 
 
 class Host:
@@ -69,10 +69,6 @@
             sink.flush()
             number += 1
     except wire.WireError as error:
-        print(f"ironstage.drill: frame {number}: {error}", file=sys.stderr)
+        print(f"basaltpoint.sim: frame {number}: {error}", file=sys.stderr)
         return 2
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/basaltpoint/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to servers and attempts on the wire."""
--- a/ironstage/net/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -14,8 +14,8 @@
 
 import httptools
 
-from ironstage.interface import Status
-from ironstage.net.config import Address
+from basaltpoint.config.address import Address
+from basaltpoint.interface import Status
 
 log = logging.getLogger(__name__)
 
--- a/ironstage/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real limiter round the decision module: sockets, clocks and timers, no policy."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from ironstage import interface as api
-from ironstage.logic import Gateway
+from basaltpoint import interface as api
+from basaltpoint.policy import Gateway
 
 SAFE = api.RequestClass(1000, 4000, api.Effect.SAFE, api.Scope.ALL, 0, 0.0)
 KEYED_ALL = api.RequestClass(1000, 4000, api.Effect.KEYED, api.Scope.ALL, 3000, 0.0)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,11 +12,11 @@
 
 import uvloop
 
-from ironstage.net.clients import Clients
-from ironstage.net.config import Config
-from ironstage.net.discovery import Watch
-from ironstage.net.limiter import Limiter
-from ironstage.wire import parse_settings
+from basaltpoint.config.settings import parse_settings
+from basaltpoint.fronts.platform.clients import Clients
+from basaltpoint.fronts.platform.config import Config
+from basaltpoint.fronts.platform.limiter import Limiter
+from basaltpoint.membership.discovery import Watch
 
 PATIENCE_S = 30.0  # only a hanging test meets it
 
--- /dev/null
+++ b/tests/test_architecture.py
@@ -0,0 +1,83 @@
+"""How the packages hang together: imports point down one list, and the platform's start stays small."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = ROOT / "basaltpoint"
+# From the top down; entries of one row don't import each other.
+LAYERS = (
+    ("__main__", "cli"),
+    ("daemon",),
+    ("fronts.platform", "fronts.http"),
+    ("sim",),
+    ("importers", "load", "verify", "standins"),
+    ("upstream",),
+    ("membership",),
+    ("core",),
+    ("config",),
+    ("routing",),
+    ("policy",),
+    ("interface",),
+)
+RANK = {name: rank for rank, row in enumerate(LAYERS) for name in row}
+OWN = ("uvloop", "httptools", "cython_runtime")  # the last is part of the first
+POLICY_LINES = 1200
+
+
+def layer(module: str) -> str | None:
+    """The layer of `basaltpoint.x.y`; None for the package itself."""
+    parts = module.split(".")[1:]
+    if not parts:
+        return None
+    two = ".".join(parts[:2])
+    return two if two in RANK else parts[0]
+
+
+def imports(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module and node.module.startswith("basaltpoint"):
+            if node.module == "basaltpoint":
+                yield from (f"basaltpoint.{alias.name}" for alias in node.names)
+            else:
+                yield node.module
+        elif isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names if alias.name.startswith("basaltpoint"))
+
+
+def test_imports_point_down() -> None:
+    wrong = []
+    for path in PACKAGE.rglob("*.py"):
+        module = ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+        here = layer(module)
+        if here is None or here == "fronts":
+            continue
+        assert here in RANK, f"{module} has no place in the list"
+        for target in imports(path):
+            there = layer(target)
+            if there and there != here and RANK[there] <= RANK[here]:
+                wrong.append(f"{module} imports {target}")
+    assert not wrong
+
+
+def loaded(command: str) -> set[str]:
+    code = f"import sys; before = set(sys.modules); {command}; print(*set(sys.modules) - before)"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    return {name.partition(".")[0] for name in done.stdout.split()}
+
+
+def test_the_platforms_start_imports_its_two_libraries_only() -> None:
+    found = loaded("import basaltpoint.daemon.platform") - set(sys.stdlib_module_names)
+    assert {name for name in found if not name.startswith("_")} == {"basaltpoint", *OWN}
+
+
+def test_the_decision_module_stays_small_and_is_named_whole() -> None:
+    files = sorted((PACKAGE / "policy").glob("*.py"))
+    named = (ROOT / "deploy/balancer.toml").read_text()
+    assert all(f"basaltpoint/policy/{path.name}" in named for path in files)
+    assert sum(len(path.read_text().splitlines()) for path in files) <= POLICY_LINES
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,8 +9,8 @@
 import pytest
 from sockets import Request, Rig, backend, host, limiter, message, run, until
 
-from ironstage import interface as api
-from ironstage.net import clients
+from basaltpoint import interface as api
+from basaltpoint.fronts.platform import clients
 
 
 async def echo(request: Request) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,8 +9,8 @@
 import pytest
 from sockets import Backend, Request, agent, backend, host, limiter, listing, message, run, until
 
-from ironstage.net import discovery
-from ironstage.net.discovery import HostList, Watch, parse_list
+from basaltpoint.membership import discovery
+from basaltpoint.membership.discovery import HostList, Watch, parse_list
 
 
 async def echo(request: Request) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -28,7 +28,7 @@
     unused_address,
 )
 
-from ironstage.net.config import ConfigError, load
+from basaltpoint.fronts.platform.config import ConfigError, load
 
 ROOT = Path(__file__).parent.parent
 
@@ -76,7 +76,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "ironstage",
+        "basaltpoint",
         cwd=ROOT,
         env={**os.environ, "GW_CONFIG": str(file), "GW_DISCOVERY": raw["discovery"]},
         preexec_fn=limit,
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -7,9 +7,9 @@
 import pytest
 from helpers import Rig, sends
 
-from ironstage import interface as api
-from ironstage import logic
-from ironstage.logic import Customer, MeterClock
+from basaltpoint import interface as api
+from basaltpoint.policy import fleet, gateway
+from basaltpoint.policy.quota import Customer, MeterClock
 
 PLAN = api.Plan(rate=10, burst=20)
 
@@ -131,7 +131,7 @@
 
 def test_a_flood_of_customers_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """The longest idle go early, but none before its ceiling is full again: it would be passed."""
-    monkeypatch.setattr(logic, "MOST_CUSTOMERS", 50)
+    monkeypatch.setattr(gateway, "MOST_CUSTOMERS", 50)
     slow = api.Plan(rate=1000, burst=2000, ceiling_rate=0.5, ceiling_depth=100.0)
     rig = Rig(plans=(slow,))
     now = 300_000.0
@@ -170,7 +170,7 @@
     """Soon where the quota has room; beyond it once the store holds the units, within the bound."""
     rig = Rig([], plans=(api.Plan(rate=5, burst=1),), advice_ms=500)
     [refused] = rig.arrive(1.0, customer=1)
-    assert isinstance(refused, api.Refuse) and refused.retry_in_ms == logic.REFERENCE_MS
+    assert isinstance(refused, api.Refuse) and refused.retry_in_ms == fleet.REFERENCE_MS
     beyond = rig.gateway.customers[1]
     beyond.usage, beyond.store.level = 300, -0.5
     [refused] = rig.arrive(1.0, customer=1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import BASE, CLASSES, Rig, kinds, sends, server
 
-from ironstage import interface as api
+from basaltpoint import interface as api
 
 SAFE, KEYED_ALL, KEYED_ZONE, UNSAFE = range(4)
 
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from ironstage.logic import BOUND, j_sums, sole_caller, thresholds
+from basaltpoint.policy.thresholds import BOUND, j_sums, sole_caller, thresholds
 
 TABLE_1 = [(0.80, 32, 5), (0.85, 23, 5), (0.90, 20, 5), (1.00, 18, 5), (1.20, 16, 5), (1.50, 15, 5)]
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -22,9 +22,9 @@
     unused_address,
 )
 
-from ironstage.interface import Status
-from ironstage.net import servers as servers_module
-from ironstage.net.servers import Reply, Servers
+from basaltpoint.interface import Status
+from basaltpoint.upstream import servers as servers_module
+from basaltpoint.upstream.servers import Reply, Servers
 
 DECLINED = "Srv-Declined: 1"
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,9 +10,10 @@
 
 import pytest
 
-from ironstage import interface as api
-from ironstage import wire
-from ironstage.drill import Host, read_frame
+from basaltpoint import interface as api
+from basaltpoint.config.settings import SettingsError, parse_settings
+from basaltpoint.sim import wire
+from basaltpoint.sim.adapter import Host, read_frame
 
 SETTINGS = {
     "balancers": 3,
@@ -123,14 +124,14 @@
 
 
 def test_settings_defaults_and_missing_keys() -> None:
-    parsed = wire.parse_settings(json.dumps(SETTINGS).encode())
+    parsed = parse_settings(json.dumps(SETTINGS).encode())
     assert parsed.meter_ms == 0 and not parsed.may_probe and parsed.plans[0].parallel == 0
     for path, name in (("me", "me"), ("guarantees", "guarantees")):
         raw = {key: value for key, value in SETTINGS.items() if key != path}
-        with pytest.raises(wire.WireError, match=name):
-            wire.parse_settings(json.dumps(raw).encode())
-    with pytest.raises(wire.WireError, match="not JSON"):
-        wire.parse_settings(b"{")
+        with pytest.raises(SettingsError, match=name):
+            parse_settings(json.dumps(raw).encode())
+    with pytest.raises(SettingsError, match="not JSON"):
+        parse_settings(b"{")
 
 
 def test_a_repeated_start_begins_anew_and_an_empty_batch_is_answered() -> None:
@@ -144,7 +145,7 @@
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
     return subprocess.run(
-        [sys.executable, "-m", "ironstage.drill"], input=data, capture_output=True, check=False
+        [sys.executable, "-m", "basaltpoint.sim"], input=data, capture_output=True, check=False
     )
 
 
--- /dev/null
+++ b/tests/traces.py
@@ -0,0 +1,181 @@
+"""Seeded event streams for the decision module, and what it does on them as text to compare.
+
+The stream answers the module's own sends, so one changed decision changes all that follows it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import random
+from types import ModuleType
+from typing import Any, Protocol
+
+STEP_MS = 4.0  # mean time between arrivals: some 250 a second
+SERVERS = 12
+CUSTOMERS = 40
+STATUSES = (("ok", 80), ("error", 5), ("full", 5), ("timeout", 4), ("connect_failed", 3), ("reset", 3))
+
+
+class Module(Protocol):
+    def handle(self, now: float, event: Any) -> list[Any]: ...
+
+
+def settings(api: ModuleType, rng: random.Random) -> Any:
+    """Settings that differ from seed to seed: effects, plans, meter, limits on attempts."""
+    effects = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
+    classes = tuple(
+        api.RequestClass(
+            aim_ms=rng.choice((300.0, 400.0, 900.0)),
+            deadline_ms=rng.choice((1000.0, 2500.0)),
+            effect=effects[number % 3],
+            scope=rng.choice((api.Scope.ALL, api.Scope.ZONE, api.Scope.CELL)),
+            window_ms=rng.choice((500.0, 3000.0)),
+            late_worth=rng.choice((0.0, 0.0, 0.8)),
+            stream=number == 3,
+            name=f"c{number}",
+            worth=rng.choice((1.0, 3.0, 5.0)),
+        )
+        for number in range(4)
+    )
+    plans = tuple(
+        api.Plan(
+            rate=rng.choice((0.0, 2.0, 8.0, 30.0)),
+            burst=rng.choice((4.0, 20.0)),
+            parallel=rng.choice((0, 0, 5)),
+            ceiling_rate=rng.choice((0.0, 10.0)),
+            ceiling_depth=10.0,
+            name=f"p{number}",
+        )
+        for number in range(4)
+    )
+    return api.Settings(
+        me=0,
+        gateways=3,
+        zone=0,
+        classes=classes,
+        plans=plans,
+        cold_from=0.2,
+        cold_ms=5000.0,
+        tip_multiple=2.0,
+        fall_ms=1000.0,
+        drain_grace_ms=250.0,
+        ask_within_ms=0.0,
+        meter_ms=rng.choice((0.0, 1000.0)),
+        post_paid=False,
+        max_attempts=rng.choice((1, 3, 4)),
+        second_copies=False,
+        may_cancel=rng.random() < 0.7,
+        may_probe=False,
+        advice_ms=rng.choice((0.0, 500.0)),
+        must_subscribe=rng.random() < 0.3,
+        report_fields=("inflight", "util"),
+    )
+
+
+class Player:
+    """Drives one gateway: what it sends is answered by chance, later."""
+
+    def __init__(self, api: ModuleType, gateway: Module, told: Any, rng: random.Random) -> None:
+        self.api, self.gateway, self.told, self.rng = api, gateway, told, rng
+        self.due: list[tuple[float, int, Any]] = []
+        self.sent: dict[tuple[int, int], Any] = {}
+        self.numbers: dict[int, int] = {}
+        self.lines: list[str] = []
+        self.order = 0
+        self.born = dict.fromkeys(range(SERVERS), 0.0)
+
+    def play(self, steps: int) -> list[str]:
+        now = 1e6
+        self.listed(now, self.api.ListKind.FULL, range(SERVERS))
+        for request in range(1, steps + 1):
+            now += self.rng.expovariate(1 / STEP_MS)
+            while self.due and self.due[0][0] <= now:
+                when, _, event = heapq.heappop(self.due)
+                self.post(when, event)
+            if self.rng.random() < 0.003:
+                self.churn(now)
+            cls = self.rng.randrange(4)
+            wait = self.told.classes[cls].deadline_ms * self.rng.choice((1.0, 1.0, 0.5, 0.2))
+            customer = min(self.rng.randrange(CUSTOMERS), self.rng.randrange(CUSTOMERS))
+            units = self.rng.choice((1.0, 1.0, 3.0))
+            doors = 1 + customer % 3
+            self.post(now, self.api.Arrival(request, cls, customer % 4, customer, units, doors, now + wait))
+            if self.rng.random() < 0.01:
+                self.plan(now + self.rng.uniform(0, 300), self.api.Abandoned(request))
+            if self.rng.random() < 0.01:
+                self.post(now, self.api.TimerFired(7))
+        return self.lines
+
+    def plan(self, when: float, event: Any) -> None:
+        self.order += 1
+        heapq.heappush(self.due, (when, self.order, event))
+
+    def churn(self, now: float) -> None:
+        number = self.rng.randrange(SERVERS)
+        if self.rng.random() < 0.3:
+            self.born[number] = now
+        kind = self.rng.choice((self.api.ListKind.DELTA, self.api.ListKind.DELTA, self.api.ListKind.CACHED))
+        named = [number] if kind is self.api.ListKind.DELTA else sorted(self.rng.sample(range(SERVERS), 9))
+        self.listed(now, kind, named)
+
+    def listed(self, now: float, kind: Any, named: Any) -> None:
+        ready, states = self.api.ServerState.READY, list(self.api.ServerState)
+        servers = tuple(
+            self.api.Server(
+                n,
+                n % 3,
+                n % 5,
+                ready if self.rng.random() < 0.8 else self.rng.choice(states),
+                1.0,
+                self.born[n],
+            )
+            for n in named
+        )
+        self.post(now, self.api.ServerList(kind, servers))
+
+    def post(self, now: float, event: Any) -> None:
+        for action in self.gateway.handle(now, event):
+            self.act(now, action)
+
+    def act(self, now: float, action: Any) -> None:
+        name = type(action).__name__
+        if name == "Send":
+            self.lines.append(f"{now:.2f} Send {action.request} {action.server} {action.until_ms:.3f}")
+            self.answer(now, action)
+        elif name == "Refuse":
+            self.lines.append(f"{now:.2f} Refuse {action.request} {action.retry_in_ms:.3f}")
+        elif name in ("Fail", "Cancel"):
+            self.lines.append(f"{now:.2f} {name} {action.request}")
+        else:
+            self.lines.append(f"{now:.2f} {name}")
+
+    def answer(self, now: float, sent: Any) -> None:
+        number = self.numbers.get(sent.request, 0)
+        self.numbers[sent.request] = number + 1
+        names, weights = zip(*STATUSES, strict=True)
+        status = self.api.Status(self.rng.choices(names, weights)[0])
+        slow = 4.0 if 1e6 + 8000 < now < 1e6 + 12000 else 1.0
+        elapsed = self.rng.expovariate(1 / (60.0 * slow))
+        if status is self.api.Status.TIMEOUT or now + elapsed > sent.until_ms:
+            status, elapsed = self.api.Status.TIMEOUT, max(0.0, sent.until_ms - now)
+        report = (self.rng.uniform(0, 9), self.rng.random()) if self.rng.random() < 0.5 else ()
+        usage = self.rng.randrange(250) if self.rng.random() < 0.5 else None
+        closed = status is self.api.Status.OK
+        if self.rng.random() < 0.02:
+            self.plan(now + elapsed / 2, self.api.StreamBegun(sent.request, number, sent.server))
+        self.plan(
+            now + elapsed,
+            self.api.Outcome(sent.request, number, sent.server, status, elapsed, closed, usage, 0, report),
+        )
+
+
+def trace(api: ModuleType, make: Any, seed: int, steps: int) -> list[str]:
+    """What a gateway made by `make(settings, seed)` does on the stream of this seed."""
+    rng = random.Random(seed)
+    told = settings(api, rng)
+    return Player(api, make(told, seed), told, rng).play(steps)
+
+
+def digest(lines: list[str]) -> str:
+    return hashlib.sha256("\n".join(lines).encode()).hexdigest()[:16]
