The module knows pools; the request table is a machine without I/O

Need: routes, cells and gRPC need several pools of servers, and every later front needs the table of requests without the sockets it was woven into.

Change: fleet, lanes, caps and windows moved into policy/pool.py, one for each pool; customers and quotas stay one for the process. One timer now serves all requests' deadlines and the module's timers.

--- /dev/null
+++ b/basaltpoint/core/table.py
@@ -0,0 +1,328 @@
+"""The request table: every request that was taken, its attempts, its deadline and its one final answer.
+
+A machine without I/O: what happened and the time go in, effects come out, to be carried out in their order.
+It reads no clock and sets no timer; `next_ms` says when `tick` is due. Every decision is the module's; the
+table holds it to what must hold whatever the module says:
+
+- a request gets exactly one `Reply`, at its client's deadline at the latest;
+- no attempt goes out while another is out, after the reply, past the deadline or beyond `max_attempts`;
+- each attempt that went out is told the module as ended exactly once, also after the reply;
+- an answer that has begun to be passed on ends whole or visibly cut, never in another answer.
+"""
+
+from __future__ import annotations
+
+import heapq
+import traceback
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from basaltpoint import interface as api
+from basaltpoint.interface import Status
+
+COMPACT = 256  # entries of the timer heap; from here on it is rebuilt once most of them are over
+
+
+class Ending(Enum):
+    """How a request ended for its client."""
+
+    SERVED = "served"
+    REFUSED = "refused"  # a retry is harmless
+    FAILED = "failed"  # promises nothing
+    CUT = "cut"  # the answer had begun and could not be finished
+    OVERDUE = "overdue"  # the module was silent up to the deadline
+    FAULT = "fault"  # the module broke down on it
+    BUSY = "busy"  # not taken: too many are open
+    TWIN = "twin"  # not taken: one of this name is open
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """What a front knows of a request: `wait_ms` counts from now, `name` is unique among the open ones."""
+
+    cls: int
+    plan: int
+    customer: int
+    units: float
+    doors: int
+    wait_ms: float
+    early_ms: float = 0.0  # the module's deadline lies so much before the client's
+    pool: int = 0
+    name: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Begin an attempt, to be given up at `until_ms`; its end is owed to `Table.ended`."""
+
+    request: int
+    attempt: int
+    server: int
+    until_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Give an attempt up; its end, cancelled or another, is still owed to `Table.ended`."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Pass on the head of the answer that has come; what follows it streams."""
+
+    request: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The one final answer; `payload` is what came with the attempt that served it."""
+
+    request: int
+    ending: Ending
+    retry_in_ms: float = 0.0
+    why: api.Why | None = None
+    payload: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What must never happen did; the text is for whoever mends it."""
+
+    text: str
+
+
+Effect = Dispatch | Withdraw | Begin | Reply | Fault | api.Probe | api.CloseIdle | api.Log
+
+
+class Module(Protocol):
+    """The decision module, as the table needs it."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
+
+
+@dataclass(slots=True)
+class Entry:
+    """One request; gone once it is answered and nothing is out."""
+
+    name: bytes
+    deadline_ms: float  # the module's
+    attempts: int = 0
+    out: int | None = None  # the attempt that is out
+    server: int = 0  # and where
+    sent_ms: float = 0.0
+    head_ms: float = 0.0  # when its answer began to be passed on; 0: not yet
+    open: bool = True
+
+
+class Table:
+    """All requests in hand."""
+
+    def __init__(self, module: Module, max_attempts: int, max_open: int) -> None:
+        self.module = module
+        self.max_attempts = max_attempts
+        self.max_open = max_open
+        self.entries: dict[int, Entry] = {}
+        self.names: set[bytes] = set()  # of the open requests
+        self.open = 0
+        self._count = 0
+        self._timers: list[tuple[float, int, int]] = []  # when, request (0: the module's), token
+        self._events: deque[api.Event] = deque()
+        self._effects: list[Effect] = []
+
+    # --- What happens -------------------------------------------------------------------------
+    def take(self, now: float, ticket: Ticket) -> tuple[int, list[Effect]]:
+        """Take a request on; from here it gets one reply, before its client gives up."""
+        self._count += 1
+        ident = self._count
+        if self.open >= self.max_open:
+            return ident, [Reply(ident, Ending.BUSY)]
+        if ticket.name and ticket.name in self.names:
+            # Sent on, a server would see it as a second copy of the one that is open.
+            return ident, [Reply(ident, Ending.TWIN)]
+        deadline = now + max(ticket.wait_ms - ticket.early_ms, ticket.wait_ms / 2)
+        self.entries[ident] = Entry(ticket.name, deadline)
+        if ticket.name:
+            self.names.add(ticket.name)
+        self.open += 1
+        self._plan(now + ticket.wait_ms, ident, 0)
+        self._events.append(
+            api.Arrival(
+                ident,
+                ticket.cls,
+                ticket.plan,
+                ticket.customer,
+                ticket.units,
+                ticket.doors,
+                deadline,
+                ticket.pool,
+            )
+        )
+        return ident, self._run(now)
+
+    def abandon(self, now: float, ident: int) -> list[Effect]:
+        """The client has hung up: nobody waits for an answer any more."""
+        if (entry := self.entries.get(ident)) and entry.open:
+            self._close(ident, entry)
+            if entry.head_ms and entry.out is not None:
+                self._effects.append(Withdraw(ident, entry.out))
+            self._events.append(api.Abandoned(ident))
+        return self._run(now)
+
+    def begun(self, now: float, ident: int, attempt: int) -> list[Effect]:
+        """The head of an attempt's good answer has come, and the answer is to be streamed.
+
+        With no `Begin` among the effects nobody waits for it any more, and the attempt is to be given up.
+        """
+        entry = self.entries.get(ident)
+        if entry is None or not entry.open or entry.out != attempt:
+            return []
+        entry.head_ms = now
+        self._effects.append(Begin(ident))
+        self._events.append(api.StreamBegun(ident, attempt, entry.server))
+        return self._run(now)
+
+    def ended(
+        self,
+        now: float,
+        ident: int,
+        attempt: int,
+        status: Status,
+        *,
+        usage: int | None = None,
+        report: tuple[float, ...] = (),
+        payload: object = None,
+    ) -> list[Effect]:
+        """An attempt's end: the first good one is the client's, and each is told the module."""
+        entry = self.entries.get(ident)
+        if entry is None or entry.out != attempt:
+            return []
+        entry.out = None
+        # A stream takes the time its client does; what the server took shows in the head.
+        elapsed = (entry.head_ms or now) - entry.sent_ms
+        if entry.open and status is Status.OK:
+            self._reply(ident, entry, Reply(ident, Ending.SERVED, payload=payload))
+        elif entry.open and entry.head_ms:
+            self._reply(ident, entry, Reply(ident, Ending.CUT))
+        closed = not entry.open
+        self._forget(ident, entry)
+        self._events.append(
+            api.Outcome(ident, attempt, entry.server, status, elapsed, closed, usage, 0, report)
+        )
+        return self._run(now)
+
+    def tell(self, now: float, event: api.Event) -> list[Effect]:
+        """Hand on what is the module's alone: lists, probes' results, new settings."""
+        self._events.append(event)
+        return self._run(now)
+
+    # --- Time ---------------------------------------------------------------------------------
+    @property
+    def next_ms(self) -> float | None:
+        """When `tick` is due; None while nothing waits."""
+        while self._timers:
+            when, ident, _ = self._timers[0]
+            if not ident or ((entry := self.entries.get(ident)) and entry.open and not entry.head_ms):
+                return when
+            heapq.heappop(self._timers)
+        return None
+
+    def tick(self, now: float) -> list[Effect]:
+        """What is due by now: the module's timers, and replies to requests that it left unanswered."""
+        while (when := self.next_ms) is not None and when <= now:
+            _, ident, token = heapq.heappop(self._timers)
+            if ident:
+                self._effects.append(Fault(f"request {ident} had no answer at its deadline"))
+                self._give_up(ident, Ending.OVERDUE)
+            else:
+                self._events.append(api.TimerFired(token))
+        return self._run(now)
+
+    def _plan(self, when: float, ident: int, token: int) -> None:
+        heapq.heappush(self._timers, (when, ident, token))
+        if len(self._timers) > COMPACT and len(self._timers) > 2 * self.open + COMPACT:
+            self._timers = [t for t in self._timers if not t[1] or t[1] in self.entries]
+            heapq.heapify(self._timers)
+
+    # --- The module's actions -----------------------------------------------------------------
+    def _run(self, now: float) -> list[Effect]:
+        while self._events:
+            event = self._events.popleft()
+            try:
+                actions = self.module.handle(now, event)
+            except Exception:
+                # A fault in one request must not end the others; its own client is told of a failure.
+                self._effects.append(Fault(f"the module failed on {event!r}: {traceback.format_exc()}"))
+                self._give_up(getattr(event, "request", 0), Ending.FAULT)
+                continue
+            for action in actions:
+                self._act(now, action)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _act(self, now: float, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(now, action)
+            case api.Refuse():
+                self._answer(action.request, Ending.REFUSED, action.retry_in_ms, action.why)
+            case api.Fail():
+                self._answer(action.request, Ending.FAILED)
+            case api.Cancel():
+                entry = self.entries.get(action.request)
+                if entry and entry.out == action.attempt and not (entry.open and entry.head_ms):
+                    self._effects.append(Withdraw(action.request, action.attempt))
+            case api.SetTimer():
+                self._plan(now + action.delay_ms, 0, action.token)
+            case api.Probe() | api.CloseIdle() | api.Log():
+                self._effects.append(action)
+            case api.Subscribe() | api.FetchList():
+                pass  # the watch is always on
+            case _:
+                self._effects.append(Fault(f"an action that the table does not know: {action!r}"))
+
+    def _send(self, now: float, action: api.Send) -> None:
+        ident = action.request
+        entry = self.entries.get(ident)
+        number = entry.attempts if entry else 0
+        until = min(action.until_ms or entry.deadline_ms, entry.deadline_ms) if entry else 0.0
+        fit = entry is not None and entry.open and entry.out is None and not entry.head_ms
+        if entry is None or not fit or now >= until or number >= self.max_attempts:
+            closed = entry is None or not entry.open
+            self._events.append(api.Outcome(ident, number, action.server, Status.MOOT, 0.0, closed))
+            return
+        entry.attempts += 1
+        entry.out, entry.server, entry.sent_ms = number, action.server, now
+        self._effects.append(Dispatch(ident, number, action.server, until))
+
+    def _answer(self, ident: int, ending: Ending, retry_ms: float = 0.0, why: api.Why | None = None) -> None:
+        entry = self.entries.get(ident)
+        if entry and entry.open and not entry.head_ms:
+            self._reply(ident, entry, Reply(ident, ending, retry_ms, why))
+
+    def _give_up(self, ident: int, ending: Ending) -> None:
+        """Answer in the module's place; what it still holds of the request is over."""
+        entry = self.entries.get(ident)
+        if entry and entry.open:
+            self._reply(ident, entry, Reply(ident, Ending.CUT if entry.head_ms else ending))
+            if entry.head_ms and entry.out is not None:
+                self._effects.append(Withdraw(ident, entry.out))
+            self._events.append(api.Abandoned(ident))
+
+    def _reply(self, ident: int, entry: Entry, reply: Reply) -> None:
+        self._close(ident, entry)
+        self._effects.append(reply)
+
+    def _close(self, ident: int, entry: Entry) -> None:
+        entry.open = False
+        self.open -= 1
+        self.names.discard(entry.name)
+        self._forget(ident, entry)
+
+    def _forget(self, ident: int, entry: Entry) -> None:
+        if not entry.open and entry.out is None:
+            self.entries.pop(ident, None)
--- a/basaltpoint/interface.py
+++ b/basaltpoint/interface.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -56,6 +57,17 @@
     FAILED = "failed"
 
 
+class Why(Enum):
+    """Why a request is refused."""
+
+    QUOTA = "quota"  # the customer's rate and burst
+    CEILING = "ceiling"  # the plan's hard ceiling
+    PARALLEL = "parallel"  # too many of the customer's requests are out
+    LOAD = "load"  # the lane of its class is at its cap
+    SERVERS = "servers"  # no server may be sent to
+    LATE = "late"  # it can't be answered in time any more
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     """A class of requests; `aim_stretch` lengthens the aim by the request's own work."""
@@ -112,6 +124,17 @@
     must_subscribe: bool
     report_fields: tuple[str, ...]
     most_units: float = 0.0  # that one request takes; 0: not told
+    sole: bool = False  # no other limiter draws from these quotas; an arrival's plan always counts
+    pools: Mapping[int, tuple[int, ...]] = field(default_factory=dict)  # the classes of each
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeRule:
+    """Active checks: one each `every_ms`; down after `fall` bad ones in a row, up after `rise` good ones."""
+
+    every_ms: float
+    rise: int
+    fall: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,12 +147,23 @@
     state: ServerState
     rating: float
     started_ms: float
+    probe: ProbeRule | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
+    """What changed of one pool's servers; a server may stand in several pools under one id."""
+
     kind: ListKind
     servers: tuple[Server, ...]
+    pool: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """Settings that hold from now on; requests that are out keep their class."""
+
+    settings: Settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +177,7 @@
     units: float
     doors: int
     deadline_ms: float
+    pool: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,6 +236,7 @@
 
 Event = (
     ServerList
+    | NewSettings
     | Arrival
     | Outcome
     | StreamBegun
@@ -212,6 +248,16 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """A customer's quota: units a second, units at once, units left, ms until it is full again."""
+
+    rate: float
+    burst: float
+    left: float
+    full_in_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Send:
     request: int
@@ -231,6 +277,7 @@
 
     request: int
     retry_in_ms: float = 0.0
+    why: Why = Why.LOAD
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltpoint/policy/fleet.py
+++ b/basaltpoint/policy/fleet.py
@@ -5,7 +5,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from basaltpoint import interface as api
 from basaltpoint.interface import ServerState, Status
@@ -26,19 +26,30 @@
 REPORT_MS = 1500.0  # ms; a load report older than this says nothing
 
 
-@dataclass(slots=True)
-class Peer:
-    """A server as this gateway sees it."""
+@dataclass(slots=True, eq=False)
+class Health:
+    """What is known of a process, in whatever pools it serves."""
 
-    entry: api.Server
-    told_ms: float
-    waiting: int = 0
+    started_ms: float
     heard_ms: float = -INF
     suspect: bool = False
     retest_ms: float = 0.0
     backoff: int = 0
     errors: int = 0  # since its last good answer
     avoid_ms: float = -INF
+    down: bool = False  # by probes
+    streak: int = 0  # of probes that speak against `down`
+    fleets: list[Fleet] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Peer:
+    """A server as one pool of this gateway sees it."""
+
+    entry: api.Server
+    told_ms: float
+    health: Health
+    waiting: int = 0
     load: float = 0.0
     load_ms: float = -INF
     allowance: float = 0.0
@@ -46,14 +57,15 @@
 
 
 class Fleet:
-    """The list, health by silence, slow start of cold servers, and the choice among them."""
+    """One pool's list, slow start of cold servers, and the choice among them; health is the process's own."""
 
-    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+    def __init__(self, settings: api.Settings, rng: random.Random, healths: dict[int, Health]) -> None:
         self.settings = settings
         self.rng = rng
+        self.healths = healths  # of all pools, by server
         self.peers: dict[int, Peer] = {}
         self.ready: list[Peer] = []
-        self.suspects: dict[int, Peer] = {}
+        self.suspects: set[int] = set()
         self.missed: dict[int, tuple[int, float]] = {}  # of a zone: failures since its last answer, when
         self.mean_ms = REFERENCE_MS
         self.usual = 0.0
@@ -74,16 +86,32 @@
                 # A new process: nothing known of the old one holds. Its first send is due at random,
                 # so that hundreds of gateways, each of which earns less than one, add up to their part.
                 waiting = peer.waiting if peer else 0
-                self.peers[entry.id] = Peer(entry, now, waiting=waiting, allowance=self.rng.random())
+                health = self._health(entry, peer)
+                self.peers[entry.id] = Peer(entry, now, health, waiting, allowance=self.rng.random())
             else:
                 peer.entry = entry
-        self.peers = {
-            ident: peer
-            for ident, peer in self.peers.items()
-            if peer.entry.state is not ServerState.GONE or peer.waiting > 0
-        }
+        for peer in list(self.peers.values()):
+            if peer.entry.state is ServerState.GONE and peer.waiting <= 0:
+                self._forget(peer)
         self.ready = [peer for peer in self.peers.values() if peer.entry.state is ServerState.READY]
-        self.suspects = {peer.entry.id: peer for peer in self.ready if peer.suspect}
+        self.suspects = {peer.entry.id for peer in self.ready if peer.health.suspect}
+
+    def _health(self, entry: api.Server, before: Peer | None) -> Health:
+        """That of the process, which another pool may know already."""
+        if before:
+            before.health.fleets.remove(self)
+        health = self.healths.get(entry.id)
+        if health is None or entry.started_ms > health.started_ms:
+            health = self.healths[entry.id] = Health(entry.started_ms)
+        health.fleets.append(self)
+        return health
+
+    def _forget(self, peer: Peer) -> None:
+        ident = peer.entry.id
+        del self.peers[ident]
+        peer.health.fleets.remove(self)
+        if not peer.health.fleets and self.healths.get(ident) is peer.health:
+            del self.healths[ident]
 
     def warmth(self, peer: Peer, now: float) -> float:
         """The part of its capacity a server surely has: from cold_from, evenly over cold_ms."""
@@ -107,7 +135,7 @@
 
     def usable(self, peer: Peer, now: float) -> bool:
         """Whether the drain and cold rules let a new attempt go to this server."""
-        if peer.entry.state is not ServerState.READY:
+        if peer.entry.state is not ServerState.READY or peer.health.down:
             return False
         warm = self.warmth(peer, now)
         return warm >= 1.0 or (self._fill(peer, now) >= 1.0 and peer.waiting < 1 + 4 * warm)
@@ -128,7 +156,9 @@
             # A zone cut off or restarting at once: with many gateways nobody can try each of its servers.
             missed, last = self.missed.get(peer.entry.zone, (0, 0.0))
             cut = missed >= ZONE_MISSES and now < last + RETEST_MS
-            shunned = (peer.suspect and now < peer.retest_ms) or peer.avoid_ms > now or peer.entry.id in avoid
+            health = peer.health
+            shunned = (health.suspect and now < health.retest_ms) or health.avoid_ms > now
+            shunned = shunned or peer.entry.id in avoid
             return shunned or cut, self.cost(peer, now)
 
         for pool in (self.rng.sample(self.ready, min(LOOKS, len(self.ready))), self.ready):
@@ -145,23 +175,24 @@
         peer.waiting -= 1
         if peer.entry.state is ServerState.GONE:
             if peer.waiting <= 0:
-                del self.peers[event.server]
+                self._forget(peer)
             return
+        health = peer.health
         if event.status in (Status.OK, Status.ERROR, Status.FULL):
-            peer.heard_ms = now
+            health.heard_ms = now
             self.missed.pop(peer.entry.zone, None)
         if event.status in (Status.OK, Status.ERROR, Status.FULL, Status.RESET):
             # A reset may be the connection's own end; a process that died refuses the next one, too.
             if event.status is not Status.FULL:
-                peer.errors = 0 if event.status is Status.OK else peer.errors + 1
-            if peer.errors >= ERRORS:
+                health.errors = 0 if event.status is Status.OK else health.errors + 1
+            if health.errors >= ERRORS:
                 self.doubt(peer, now)
             elif event.status is not Status.RESET:
                 self.clear(peer)
         # Silence while it had work is the sign of a vanished server, a refused connection of a lost one.
-        silent = event.status is Status.TIMEOUT and peer.heard_ms < now - event.elapsed_ms
+        silent = event.status is Status.TIMEOUT and health.heard_ms < now - event.elapsed_ms
         if event.status is Status.FULL:
-            peer.avoid_ms = now + FULL_MS
+            health.avoid_ms = now + FULL_MS
         elif silent or event.status is Status.CONNECT_FAILED:
             self.doubt(peer, now)
             self.missed[peer.entry.zone] = self.missed.get(peer.entry.zone, (0, now))[0] + 1, now
@@ -179,14 +210,17 @@
         self.usual += USUAL_PART * (peer.load - self.usual)
 
     def clear(self, peer: Peer) -> None:
-        peer.suspect, peer.backoff = False, 0
-        self.suspects.pop(peer.entry.id, None)
+        peer.health.suspect, peer.health.backoff = False, 0
+        for fleet in peer.health.fleets:
+            fleet.suspects.discard(peer.entry.id)
 
     def doubt(self, peer: Peer, now: float) -> None:
-        peer.suspect = True
-        self.suspects[peer.entry.id] = peer
-        peer.retest_ms = now + RETEST_MS * 2 ** min(3, peer.backoff)
-        peer.backoff += 1
+        health = peer.health
+        health.suspect = True
+        for fleet in health.fleets:
+            fleet.suspects.add(peer.entry.id)
+        health.retest_ms = now + RETEST_MS * 2 ** min(3, health.backoff)
+        health.backoff += 1
 
     def all_slow(self) -> bool:
         """Whether most are suspect: a jam, whose time-outs are latencies. It hurts if most truly vanished."""
--- /dev/null
+++ b/basaltpoint/policy/pool.py
@@ -0,0 +1,136 @@
+"""One pool of servers: its fleet, the two lanes, their windows and the caps that the search finds."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Iterator, Sequence
+
+from basaltpoint import interface as api
+from basaltpoint.policy.fleet import WINDOW_MS, Fleet, Health
+from basaltpoint.policy.thresholds import INF, thresholds
+
+# --- Constants: unit, reason -------------------------------------------------------------------
+RERUN_MS = 500.0  # ms; thresholds follow a load that moves in seconds
+FEWEST = 10  # completions that the window holds at least, however old; below, the last thresholds stay
+OLDEST_MS = 20000.0  # ms; older ones say nothing of now
+POOLING = 1.5  # roots of a threshold that chance may add: own small counts swing, their sum hardly
+LEAST_CAP = 0.2  # requests; a lane is never shut: without completions it could not open again
+AIM_PART = 0.15  # of lane one's aim as bound on the mean: most answers, not half, shall be within it
+TIGHT = 1.34  # times the tightest aim: what still counts as tight; nearer aims are one lane
+FLOORS = tuple(n / 10 for n in range(9, 1, -1))  # of lane two's arrivals as T: the highest feasible
+LOW_RISE = 1.3  # a rerun; how fast the remembered light-load latency may rise: doubles in some 2 s
+LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
+QUICK = 0.25  # of the tightest aim; three in four answers within it are quick
+LATE = 0.65  # of the time left; repeatable work is given up then while more is lost than is late
+TAIL = 0.01  # of the recent answers may be late then: else it is load, and one more try feeds it
+STRAY = 0.02  # of the recent attempts; with fewer time-outs hardly an answer gets lost
+
+
+def split_lanes(classes: Sequence[api.RequestClass]) -> list[int]:
+    """Lane 0 holds the tight aims; aims that hardly differ share it, as squeezing equals loses more."""
+    tightest = min((c.aim_ms for c in classes), default=0.0)
+    return [0 if c.aim_ms <= TIGHT * tightest else 1 for c in classes]
+
+
+class Pool:
+    """What one pool's requests wait for; customers and their quotas are the gateway's."""
+
+    def __init__(
+        self, number: int, settings: api.Settings, rng: random.Random, healths: dict[int, Health]
+    ) -> None:
+        self.number = number
+        self.fleet = Fleet(settings, rng, healths)
+        self.retune(settings)
+        self.caps: tuple[float, float] = (INF, INF)
+        self.count = [0, 0]
+        self.latencies: deque[tuple[float, int, float]] = deque()
+        self.low = [INF, INF, INF]  # light-load latency of lane one, lane two and both
+        self.arrivals: deque[tuple[float, int, float]] = deque()
+        self.mean_out, self.out_ms = 0.0, -INF
+        self.begun = INF  # when the first request came
+        self.rerun_ms = -INF
+        self.lost: deque[tuple[float, int, float]] = deque()  # as latencies, of time-outs
+        self.lossy = False
+        self.strays = False  # some answers get lost though hardly one is late
+
+    def retune(self, settings: api.Settings) -> None:
+        """Take up settings; what was measured stays."""
+        self.settings = self.fleet.settings = settings
+        own = settings.pools.get(self.number, () if settings.pools else range(len(settings.classes)))
+        self.lanes = dict(zip(own, split_lanes([settings.classes[n] for n in own]), strict=True))
+
+    def members(self) -> Iterator[tuple[api.RequestClass, int]]:
+        """The classes that come here, each with its lane."""
+        return ((self.settings.classes[number], lane) for number, lane in self.lanes.items())
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is here, or out, any more."""
+        return not self.fleet.peers and not sum(self.count)
+
+    def tick(self, now: float) -> list[api.Action]:
+        """Keep the mean count out, and the caps as old as RERUN_MS at most."""
+        actions: list[api.Action] = []
+        gone = 1.0 - math.exp((self.out_ms - now) / WINDOW_MS)
+        self.mean_out, self.out_ms = self.mean_out + gone * (sum(self.count) - self.mean_out), now
+        if now - self.rerun_ms >= RERUN_MS:
+            self.rerun_ms = now
+            self._rerun(now, actions)
+        return actions
+
+    def room(self, lane: int) -> float:
+        """Requests that the lane may take still; below one, the chance that it takes one more."""
+        return self.caps[lane] + POOLING * math.sqrt(self.caps[lane]) - self.count[lane]
+
+    def _light(self, which: int, latencies: list[float]) -> float:
+        """The 10th-percentile latency, remembered through a jam, where it waits too and load reads low.
+        It hurts, for some seconds, where requests truly become heavier."""
+        if latencies:
+            tenth = sorted(latencies)[len(latencies) // 10]
+            self.low[which] = min(tenth, self.low[which] * LOW_RISE)
+        return self.low[which] if self.low[which] < INF else 0.0
+
+    def _rerun(self, now: float, actions: list[api.Action]) -> None:
+        """Estimate the load from the window and set the lane caps by the search."""
+        for queue in (self.latencies, self.lost, self.arrivals):
+            while queue and queue[0][0] < now - (WINDOW_MS if len(queue) > FEWEST else OLDEST_MS):
+                queue.popleft()
+        lanes: list[list[float]] = [[], []]
+        aim = min((c.aim_ms for c, lane in self.members() if lane == 0), default=INF)
+        # Lost answers are told from a jam by the others, which come quickly: no load, worth another try.
+        # It also covers vanished servers; it would feed a jam whose time-outs are one class's alone.
+        quick = sorted(elapsed for *_, elapsed in self.latencies)
+        heavy = len(self.lost) > LOSS * (len(self.lost) + len(quick))
+        before, self.lossy = self.lossy, len(quick) > 3 and heavy and quick[len(quick) * 3 // 4] < QUICK * aim
+        late = sum(1 for elapsed in quick if elapsed > LATE * aim)
+        enough = len(self.lost) >= max(2.0, STRAY * len(quick))
+        self.strays = len(quick) > FEWEST and enough and late <= TAIL * len(quick)
+        if self.lossy and not before:
+            actions.append(api.Log(f"answers get lost: {len(self.lost)} beside {len(quick)}"))
+        for _, lane, elapsed in [*self.latencies, *(() if self.lossy else self.lost)]:
+            lanes[lane].append(elapsed)
+        every = sorted(lanes[0] + lanes[1])
+        if every:
+            self.fleet.mean_ms = max(1.0, sum(every) / len(every))
+        if len(every) < FEWEST or not lanes[0]:
+            return
+        low = [self._light(which, lane) for which, lane in enumerate(lanes)]
+        load = 1.0 - self._light(2, every) / self.fleet.mean_ms
+        rates = [sum(1 for _, lane, _ in self.arrivals if lane == which) for which in (0, 1)]
+        weight = [rates[which] * low[which] for which in (0, 1)]
+        if load <= 0 or sum(weight) <= 0 or low[0] <= 0:
+            return
+        rho = [load * part / sum(weight) for part in weight]
+        tries = (thresholds(rho[0], rho[1], AIM_PART * aim / low[0], floor) for floor in FLOORS)
+        found = next((pair for pair in tries if pair is not None), None)
+        if found is None:
+            return
+        # Counted from nothing the mean would be low for seconds, and the caps with it.
+        counted = 1.0 - math.exp((self.begun - now) / WINDOW_MS)
+        scale = max(1e-3, self.mean_out / counted * (1.0 - load) / load)
+        caps = (max(LEAST_CAP, found[0] * scale), max(LEAST_CAP, found[1] * scale))
+        if (min(caps) < INF) != (min(self.caps) < INF):
+            actions.append(api.Log(f"lane caps {caps[0]:.1f} {caps[1]:.1f} at load {load:.2f}"))
+        self.caps = caps
--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -140,6 +140,17 @@
         self.usage: int | None = None
         self.out = 0
 
+    def change(self, now: float, plan: api.Plan) -> None:
+        """Go over to another plan: what is left of the store counts as the same part of the new one."""
+        self.store.refill(now)
+        part = self.store.level / self.plan.burst if self.plan.burst > 0 else 1.0
+        level = part * plan.burst
+        self.store = TokenBucket(plan.rate, plan.burst, level, now)
+        rate, depth = plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors
+        # A ceiling is never granted anew by a change: what was drawn stays drawn.
+        self.ceiling = TokenBucket(rate, depth, min(depth, self.ceiling.refill(now)), now)
+        self.anchor, self.plan = (level, now), plan
+
     def part(self) -> float:
         """Our part of the customer's traffic, learned from the meter; even before evidence."""
         prior = SHARE_PRIOR / self.doors
@@ -240,15 +251,18 @@
         over = KEPT_OVER * math.sqrt(1.0 - share)
         return (KEPT + over) * (1.0 - worth) * self.plan.burst
 
-    def lets_in(self, now: float, units: float, dice: float, worth: float = 1.0) -> bool:
-        """The let-in share; a store full enough passes without it where it rests on own sends."""
+    def bars(self, now: float, units: float, dice: float, worth: float = 1.0) -> api.Why | None:
+        """The let-in share; a store full enough passes without it where it rests on own sends.
+
+        None where the request may go on, else why not.
+        """
         share = self.share(now)
         self.asked = self.asked * math.exp((self.asked_at - now) / AGE_MS) + units
         self.asked_at = now
         if self.plan.parallel and self.out / self.part() >= self.plan.parallel and self.out:
-            return False
+            return api.Why.PARALLEL
         if self.plan.rate <= 0:
-            return dice < share
+            return None if dice < share else api.Why.QUOTA
         left = self.store.refill(now) - units - self._kept(share, worth)
         sure = self.part() * self.plan.burst >= OWN_LEAST and left >= SURE_ROOM * self.plan.burst
-        return sure or (left >= 0.0 and dice < share)
+        return None if sure or (left >= 0.0 and dice < share) else api.Why.QUOTA
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
+class Answer:
     """How an attempt ended, and what came with it."""
 
     status: Status
@@ -52,7 +52,7 @@
 
     __slots__ = ("_on_end", "_timer", "connection", "ended", "message", "until")
 
-    def __init__(self, message: bytes, until: float, on_end: Callable[[Reply], None]) -> None:
+    def __init__(self, message: bytes, until: float, on_end: Callable[[Answer], None]) -> None:
         self.message = message
         self.until = until
         self.connection: _Connection | None = None
@@ -60,7 +60,7 @@
         self._on_end = on_end
         self._timer = asyncio.get_running_loop().call_at(until + TIMER_S, self._time_out)
 
-    def end(self, reply: Reply) -> None:
+    def end(self, reply: Answer) -> None:
         if not self.ended:
             self.ended = True
             self._timer.cancel()
@@ -78,7 +78,7 @@
     def _give_up(self, status: Status) -> None:
         if self.connection:
             self.connection.drop()
-        self.end(Reply(status))
+        self.end(Answer(status))
 
 
 def _usage(raw: bytes) -> int | None:
@@ -225,7 +225,7 @@
         self._body = []
         self.drop()
         if attempt:
-            attempt.end(Reply(status if written else Status.CONNECT_FAILED))
+            attempt.end(Answer(status if written else Status.CONNECT_FAILED))
 
     def _settle(self) -> None:
         if self._rest:
@@ -243,7 +243,7 @@
             status = Status.FULL
         else:
             status = Status.ERROR
-        reply = Reply(
+        reply = Answer(
             status,
             b"".join(self._body),
             self._headers.get(b"content-type", b""),
@@ -287,7 +287,7 @@
     def any_ready(self) -> bool:
         return any(server.ready for server in self._servers.values())
 
-    def send(self, number: int, message: bytes, until: float, on_end: Callable[[Reply], None]) -> Attempt:
+    def send(self, number: int, message: bytes, until: float, on_end: Callable[[Answer], None]) -> Attempt:
         """Begin an attempt over the latest used free connection, or over a new one."""
         attempt = Attempt(message, until, on_end)
         server = self._servers[number]
@@ -306,7 +306,7 @@
         """Open a connection for an attempt; if that is over by then, it is kept for the next."""
         if self._open >= self._most and not self._drop_oldest():
             log.warning("no connection to %s: %d are open", server.dial, self._open)
-            attempt.end(Reply(Status.CONNECT_FAILED))
+            attempt.end(Answer(Status.CONNECT_FAILED))
             return
         self._open += 1
         dial, sock = server.dial, None
@@ -323,12 +323,12 @@
             self._open -= 1
             if sock:
                 sock.close()
-            attempt.end(Reply(Status.CONNECT_FAILED))
+            attempt.end(Answer(Status.CONNECT_FAILED))
             return
         if not server.ready or server.dial != dial:
             # It drained or moved while this connection came up: nothing new may go there.
             connection.drop()
-            attempt.end(Reply(Status.CONNECT_FAILED))
+            attempt.end(Answer(Status.CONNECT_FAILED))
         elif attempt.ended:
             self.keep(server, connection)
         else:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -236,8 +236,8 @@
     """In the decision module's place: it does what the test says."""
 
     def __init__(self, rig: Rig, *events: type) -> None:
-        self.events, self.rest = events, rig.limiter._gateway
-        rig.limiter._gateway = self  # type: ignore[assignment]
+        self.events, self.rest = events, rig.limiter.gateway
+        rig.limiter.table.module = self
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         if isinstance(event, self.events):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -76,23 +76,23 @@
 def test_behind_many_doors_repeated_tries_weigh_and_a_first_one_passes() -> None:
     """big-1 of cca-main-later: with a reading a minute, own tries are what tells a runaway account."""
     customer = Customer(api.Plan(rate=1, burst=4), 300, 0.0)
-    assert customer.lets_in(1000.0, 1.0, 0.9)
-    assert not customer.lets_in(2000.0, 1.0, 0.9)
+    assert not customer.bars(1000.0, 1.0, 0.9)
+    assert customer.bars(2000.0, 1.0, 0.9)
     assert customer.share(120000.0) > 0.9
 
 
 def test_a_plan_without_a_rate_goes_by_its_meter() -> None:
     clock, customer = MeterClock(1000.0), Customer(api.Plan(rate=0, burst=0, parallel=4), 3, 0.0)
-    assert customer.lets_in(5.0, 1.0, 0.99)
+    assert not customer.bars(5.0, 1.0, 0.99)
     customer.meter(10.0, 400, clock)
-    assert not customer.lets_in(20.0, 1.0, 0.5)
+    assert customer.bars(20.0, 1.0, 0.5)
 
 
 def test_own_sends_past_the_whole_quota_are_beyond() -> None:
     customer = Customer(PLAN, 1, 0.0)
     passed = 0
     for step in range(200):
-        if customer.lets_in(step * 5.0, 1.0, 0.0):
+        if not customer.bars(step * 5.0, 1.0, 0.0):
             customer.draw(step * 5.0, 1.0)
             passed += 1
     assert passed <= PLAN.burst * 1.3 + PLAN.rate
@@ -101,8 +101,8 @@
 def test_a_wholly_refused_customer_recovers_without_a_meter() -> None:
     customer = Customer(PLAN, 1, 0.0)
     customer.store.level = -5.0
-    assert not customer.lets_in(0.0, 1.0, 0.5)
-    assert customer.lets_in(2500.0, 1.0, 0.5)
+    assert customer.bars(0.0, 1.0, 0.5)
+    assert not customer.bars(2500.0, 1.0, 0.5)
 
 
 def test_idle_customers_are_forgotten() -> None:
@@ -126,7 +126,7 @@
         rig.done(step * 50.0 + 20.0, sent, "ok")
     assert kept and 1_000_000 in rig.gateway.customers
     assert len(rig.gateway.customers) < 1000
-    assert len(rig.gateway.fleet.let_in) < 200
+    assert len(rig.gateway.pools[0].fleet.let_in) < 200
 
 
 def test_a_flood_of_customers_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -24,7 +24,7 @@
 
 from basaltpoint.interface import Status
 from basaltpoint.upstream import servers as servers_module
-from basaltpoint.upstream.servers import Reply, Servers
+from basaltpoint.upstream.servers import Answer, Servers
 
 DECLINED = "Srv-Declined: 1"
 
@@ -181,7 +181,7 @@
         async with backend(script) as server, limiter(host("a", server.address)) as rig:
             client = await rig.connect()
             assert (await client.ask(message("fix", "spoilt"))).code == 502
-            assert not rig.limiter._gateway.fleet.suspects
+            assert not rig.limiter.gateway.pools[0].fleet.suspects
             assert (await client.ask(message("fix", "next"))).body == b"good"
             assert len(server.requests) == 2
 
@@ -266,9 +266,9 @@
     run(test())
 
 
-async def outcome(servers: Servers, number: int, raw: bytes, seconds: float = 20.0) -> Reply:
+async def outcome(servers: Servers, number: int, raw: bytes, seconds: float = 20.0) -> Answer:
     loop = asyncio.get_running_loop()
-    ended: asyncio.Future[Reply] = loop.create_future()
+    ended: asyncio.Future[Answer] = loop.create_future()
     servers.send(number, raw, loop.time() + seconds, ended.set_result)
     return await ended
 
@@ -319,7 +319,7 @@
         peer.send(OK)
         assert (await first).status is Status.OK
         peer.close()
-        ended: asyncio.Future[Reply] = loop.create_future()
+        ended: asyncio.Future[Answer] = loop.create_future()
         servers.send(1, REQUEST, loop.time() + 20, ended.set_result)  # no turn of the loop between
         peer = await listener.accept()
         assert await loop.sock_recv(peer, 100) == REQUEST
@@ -372,7 +372,7 @@
     async def test() -> None:
         loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
         servers.place(1, listener.address, True)
-        ended: asyncio.Future[Reply] = loop.create_future()
+        ended: asyncio.Future[Answer] = loop.create_future()
         attempt = servers.send(1, REQUEST, loop.time() + 20, ended.set_result)
         peer = await listener.accept()
         await loop.sock_recv(peer, 100)
@@ -492,12 +492,16 @@
                     client.close()
                 watched.tell(listing(2, host("d", server.address)))  # the others are gone in mid-flight
                 assert {(await client.answer()).code for client in made} <= {200, 429, 502}
-                gateway, sockets = rig.limiter._gateway, rig.limiter._servers
-                await until(lambda: not gateway.requests and not rig.limiter._requests)
+                gateway, sockets = rig.limiter.gateway, rig.limiter._servers
+                await until(lambda: not gateway.requests and not rig.limiter.table.entries)
                 await until(lambda: not sockets._connecting)
-                assert (rig.limiter.open, gateway.count, rig.limiter._names) == (0, [0, 0], set())
+                assert (rig.limiter.open, gateway.pools[0].count, rig.limiter.table.names) == (
+                    0,
+                    [0, 0],
+                    set(),
+                )
                 assert all(customer.out == 0 for customer in gateway.customers.values())
-                assert [peer.waiting for peer in gateway.fleet.peers.values()] == [0]
+                assert [peer.waiting for peer in gateway.pools[0].fleet.peers.values()] == [0]
                 sockets.close()
                 await until(lambda: sockets._open == 0)
 
