Routes, accounts and the configuration file of the standalone limiter

Need: nothing but the platform's JSON file and headers could tell the program what to serve.

Change: basaltpoint/routing matches host, path, method and headers in one stated order, in a path's one normal form, with regular expressions on RE2; accounts are known by digests of their keys. basaltpoint/config decodes a TOML file with msgspec and tells every problem at once, with file, key path, what was found and what is allowed.

--- /dev/null
+++ b/basaltpoint/config/decode.py
@@ -0,0 +1,199 @@
+"""A TOML file into typed structures, with every error told in one go.
+
+msgspec decodes and checks each value; as it stops at the first error, tables are walked here key by key.
+An error names file, key path, what was found and what is allowed.
+"""
+
+from __future__ import annotations
+
+import difflib
+import tomllib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import inspect
+
+T = TypeVar("T", bound=msgspec.Struct)
+LONGEST_SHOWN = 60  # characters of a value that an error shows
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One error; `path` is the key's, as `route[2].pool`."""
+
+    file: str
+    path: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.path}: {self.found}; allowed: {self.allowed}"
+
+
+class FileError(Exception):
+    """A configuration that can't be used, with all that is wrong in it."""
+
+    def __init__(self, problems: Iterable[Problem]) -> None:
+        self.problems = tuple(problems)
+        super().__init__("\n".join(map(str, self.problems)))
+
+
+def shown(value: object) -> str:
+    """A value as an error shows it."""
+    if isinstance(value, dict):
+        return "a table"
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    text = repr(value).replace("'", '"') if isinstance(value, str) else str(value)
+    return text if len(text) <= LONGEST_SHOWN else text[: LONGEST_SHOWN - 3] + "..."
+
+
+class Collector:
+    """The problems of one file, as they are found."""
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.problems: list[Problem] = []
+
+    def add(self, path: str, found: str, allowed: str) -> None:
+        self.problems.append(Problem(self.file, path, found, allowed))
+
+    def check(self) -> None:
+        """FileError where anything was found."""
+        if self.problems:
+            raise FileError(self.problems)
+
+
+def read_toml(path: Path, out: Collector) -> dict[str, Any]:
+    """The file's tables; a problem, and none of them, where it is no TOML."""
+    try:
+        return tomllib.loads(path.read_bytes().decode())
+    except OSError as error:
+        out.add("(file)", f"can't be read: {error.strerror}", "a file that this user may read")
+    except UnicodeDecodeError as error:
+        out.add("(file)", f"not UTF-8 at byte {error.start}", "a TOML file in UTF-8")
+    except tomllib.TOMLDecodeError as error:
+        out.add("(file)", f"no TOML: {error}", "TOML 1.0")
+    return {}
+
+
+def allowed(kind: inspect.Type) -> str:
+    """In words, what a value of this type may be."""
+    match kind := bare(kind):
+        case inspect.BoolType():
+            return "true or false"
+        case inspect.IntType() | inspect.FloatType():
+            noun = "a whole number" if isinstance(kind, inspect.IntType) else "a number"
+            bounds = [
+                f"{word} {bound:g}"
+                for word, bound in (
+                    ("above", kind.gt),
+                    ("from", kind.ge),
+                    ("below", kind.lt),
+                    ("up to", kind.le),
+                )
+                if bound is not None
+            ]
+            return " ".join([noun, *bounds])
+        case inspect.StrType():
+            if kind.pattern:
+                return f"a text of the form {kind.pattern}"
+            return "a text that is not empty" if kind.min_length else "a text"
+        case inspect.EnumType():
+            return "one of " + ", ".join(shown(member.value) for member in kind.cls)
+        case inspect.ListType() | inspect.VarTupleType():
+            return f"a list, each item {allowed(kind.item_type)}"
+        case inspect.DictType():
+            return f"a table, each value {allowed(kind.value_type)}"
+        case inspect.StructType():
+            return "a table"
+        case _:
+            return str(kind)
+
+
+def bare(kind: inspect.Type) -> inspect.Type:
+    """A type without its description, and without the None that stands for absence."""
+    if isinstance(kind, inspect.Metadata):
+        return bare(kind.type)
+    if isinstance(kind, inspect.UnionType):
+        parts = [part for part in kind.types if not isinstance(part, inspect.NoneType)]
+        return bare(parts[0]) if len(parts) == 1 else kind
+    return kind
+
+
+def _join(path: str, key: str) -> str:
+    return f"{path}.{key}" if path else key
+
+
+def decode(kind: type[T], raw: dict[str, Any], out: Collector, path: str = "") -> T | None:
+    """The structure, or None where something in it is wrong and told to `out`."""
+    info = inspect.type_info(kind)
+    assert isinstance(info, inspect.StructType)
+    before = len(out.problems)
+    values = _fields(info, raw, out, path)
+    return kind(**values) if len(out.problems) == before else None
+
+
+def _fields(info: inspect.StructType, raw: dict[str, Any], out: Collector, path: str) -> dict[str, Any]:
+    known = {field.encode_name: field for field in info.fields}
+    for key in raw:
+        if key not in known:
+            near = difflib.get_close_matches(key, known, 1, 0.5)
+            hint = f'did you mean "{near[0]}"?' if near else "one of " + ", ".join(sorted(known))
+            out.add(_join(path, key), "an unknown key", hint)
+    values: dict[str, Any] = {}
+    for key, field in known.items():
+        if key in raw:
+            values[field.name] = _value(field.type, raw[key], out, _join(path, key))
+        elif field.required:
+            out.add(_join(path, key), "missing", allowed(field.type))
+    return values
+
+
+def _value(kind: inspect.Type, value: Any, out: Collector, path: str) -> Any:
+    kind = bare(kind)
+    if isinstance(kind, inspect.StructType) and isinstance(value, dict):
+        return decode(kind.cls, value, out, path)
+    if isinstance(kind, inspect.VarTupleType) and isinstance(value, list):
+        return tuple(_value(kind.item_type, item, out, f"{path}[{at}]") for at, item in enumerate(value))
+    if isinstance(kind, inspect.DictType) and isinstance(value, dict):
+        return {key: _value(kind.value_type, item, out, _join(path, key)) for key, item in value.items()}
+    return _leaf(kind, value, out, path)
+
+
+def _leaf(kind: inspect.Type, value: Any, out: Collector, path: str) -> Any:
+    try:
+        return msgspec.convert(value, _python_type(kind), strict=True)
+    except msgspec.ValidationError:
+        out.add(path, f"found {shown(value)}", allowed(kind))
+        return None
+
+
+def _python_type(kind: inspect.Type) -> Any:
+    """The type that msgspec converts to, with its bounds."""
+    match kind := bare(kind):
+        case inspect.BoolType():
+            return bool
+        case inspect.IntType():
+            return _bounded(int, kind)
+        case inspect.FloatType():
+            return _bounded(float, kind)
+        case inspect.StrType():
+            return _bounded(str, kind)
+        case inspect.EnumType() | inspect.StructType():
+            return kind.cls
+        case inspect.VarTupleType():
+            return tuple[_python_type(kind.item_type), ...]  # type: ignore[misc]
+        case inspect.DictType():
+            return dict[str, _python_type(kind.value_type)]  # type: ignore[misc]
+        case _:
+            raise AssertionError(f"a field of this type is not decoded: {kind}")
+
+
+def _bounded(kind: type, info: Any) -> Any:
+    names = ("gt", "ge", "lt", "le", "min_length", "max_length", "pattern")
+    bounds = {name: value for name in names if (value := getattr(info, name, None)) is not None}
+    return Annotated[kind, msgspec.Meta(**bounds)] if bounds else kind
--- /dev/null
+++ b/basaltpoint/routing/accounts.py
@@ -0,0 +1,130 @@
+"""Accounts: who asks, told by an API key or a bearer token, and on which plan.
+
+Keys are known as SHA-256 digests only. They are made by machines and long, so a salt or a slow hash would
+add nothing; a check refuses short ones when a digest is made. A look-up hashes what came and looks for the
+whole digest: its time tells neither how many accounts there are nor how much of a key was right, as nobody
+can choose a key by parts of its digest.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import ipaddress
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+Networks = tuple[ipaddress.IPv4Network | ipaddress.IPv6Network, ...]
+
+ANONYMOUS = 1 << 62  # customer numbers from here on are addresses
+PREFIX_V6 = 64  # bits of an IPv6 address that one client is taken to hold
+LONGEST_KEY = 4096  # bytes; a longer one is unknown without being hashed
+NOBODY = bytes(32)
+
+
+class Missing(Enum):
+    """What becomes of a request with no key, or with an unknown one."""
+
+    REFUSE = "refuse"
+    ANONYMOUS = "anonymous"
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    number: int  # of the customer, the same over reloads
+    plan: int
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """How keys come and what is done without one; `anonymous_plan` is needed where ANONYMOUS is."""
+
+    header: str = "x-api-key"
+    bearer: bool = True
+    no_key: Missing = Missing.REFUSE
+    unknown_key: Missing = Missing.REFUSE
+    anonymous_plan: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Stranger:
+    """Why a request has no account; `known` tells whether a key came at all."""
+
+    key_came: bool
+
+
+def digest(key: bytes) -> bytes:
+    return hashlib.sha256(key).digest()
+
+
+class Accounts:
+    """The accounts of a configuration by the digests of their keys."""
+
+    def __init__(self, by_digest: Mapping[bytes, Account], identity: Identity) -> None:
+        self._by_digest = by_digest
+        self.identity = identity
+
+    def key(self, headers: Mapping[str, str]) -> bytes | None:
+        """The key that a request brings; the header goes before the bearer token."""
+        if value := headers.get(self.identity.header):
+            return value.encode("latin-1", "replace")
+        if self.identity.bearer:
+            scheme, _, token = headers.get("authorization", "").partition(" ")
+            if scheme.lower() == "bearer" and token.strip():
+                return token.strip().encode("latin-1", "replace")
+        return None
+
+    def find(self, headers: Mapping[str, str], address: str) -> Account | Stranger:
+        """The account of a request, an anonymous one by its client's address, or why there is none."""
+        key = self.key(headers)
+        if key is None:
+            return self._without(self.identity.no_key, address, False)
+        sum_ = digest(key) if len(key) <= LONGEST_KEY else NOBODY
+        account = self._by_digest.get(sum_)
+        if account is None:
+            return self._without(self.identity.unknown_key, address, True)
+        return account
+
+    def _without(self, rule: Missing, address: str, key_came: bool) -> Account | Stranger:
+        if rule is Missing.REFUSE:
+            return Stranger(key_came)
+        return Account(anonymous(address), self.identity.anonymous_plan, address)
+
+
+def anonymous(address: str) -> int:
+    """The customer number of a client without an account: its address, an IPv6 one's network."""
+    try:
+        parsed = ipaddress.ip_address(address.partition("%")[0])
+    except ValueError:
+        return ANONYMOUS + int.from_bytes(digest(address.encode())[:7])
+    if parsed.version == 6:
+        if parsed.ipv4_mapped:
+            return ANONYMOUS + int(parsed.ipv4_mapped)
+        return ANONYMOUS + (1 << 60) + (int(parsed) >> (128 - PREFIX_V6)) % (1 << 60)
+    return ANONYMOUS + int(parsed)
+
+
+def client_address(peer: str, forwarded: str, trusted: Networks) -> str:
+    """Who asks, behind proxies that are trusted: the last address of X-Forwarded-For that is not one of them.
+
+    Without trusted proxies it is the connection's peer; what a client writes itself never counts.
+    """
+    address = peer
+    for entry in reversed([part.strip() for part in forwarded.split(",")] if forwarded else []):
+        if not _within(address, trusted):
+            break
+        try:
+            ipaddress.ip_address(entry)
+        except ValueError:
+            break
+        address = entry
+    return address
+
+
+def _within(address: str, networks: Networks) -> bool:
+    try:
+        parsed = ipaddress.ip_address(address)
+    except ValueError:
+        return False
+    return any(parsed.version == network.version and parsed in network for network in networks)
--- /dev/null
+++ b/basaltpoint/routing/path.py
@@ -0,0 +1,87 @@
+"""The one normal form of a request target in which paths are matched.
+
+What is forwarded is the target as it came, unless a route rewrites it. The steps, in this order:
+
+1. the query (from the first `?`) is cut off; it plays no part in matching;
+2. escapes of unreserved characters are decoded (RFC 3986, 6.2.2.2), all others get upper-case digits, so
+   `%2e` is a dot but `%2F` stays data: an encoded slash never separates segments;
+3. runs of slashes become one;
+4. `.` and `..` segments are removed (RFC 3986, 5.2.4).
+
+A path that climbs above the root, or holds an escape that is none, is refused: two readers of it could
+disagree on where it leads.
+"""
+
+from __future__ import annotations
+
+import re
+
+UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
+ESCAPE = re.compile(r"%(..?)?", re.S)
+HEX = frozenset("0123456789abcdefABCDEF")
+SLASHES = re.compile(r"/{2,}")
+# Most paths are in normal form as they come; this tells them in one pass.
+ODD = re.compile(r"%|//|/\.")
+PLAIN = re.compile(r"[\x21-\x7e]+")
+SCHEME = re.compile(r"https?://([^/?#]*)", re.I)
+
+
+class PathError(ValueError):
+    """A request target that has no normal form; says why."""
+
+
+def _unescape(match: re.Match[str]) -> str:
+    digits = match[1] or ""
+    if len(digits) != 2 or not set(digits) <= HEX:
+        raise PathError(f"an escape that is none: {match[0]!r}")
+    code = int(digits, 16)
+    return chr(code) if code in UNRESERVED else f"%{code:02X}"
+
+
+def _without_dots(path: str) -> str:
+    kept: list[str] = []
+    segments = path.split("/")[1:]
+    for segment in segments:
+        if segment == "..":
+            if not kept:
+                raise PathError("the path climbs above its root")
+            kept.pop()
+        elif segment != ".":
+            kept.append(segment)
+    if segments[-1] in (".", "..") and (not kept or kept[-1]):
+        kept.append("")
+    return "/" + "/".join(kept)
+
+
+def normal_path(path: str) -> str:
+    """The normal form of a path without its query; PathError where there is none."""
+    if not path.startswith("/"):
+        raise PathError("the path does not begin with a slash")
+    if not ODD.search(path):
+        return path
+    return _without_dots(SLASHES.sub("/", ESCAPE.sub(_unescape, path)))
+
+
+def split_target(target: str) -> tuple[str | None, str, str]:
+    """(authority or None, path, query with its `?`) of an origin-form or absolute-form target.
+
+    Source: RFC 9112, 3.2.1 and 3.2.2. A fragment is no part of a target, and refused.
+    """
+    if not PLAIN.fullmatch(target) or "#" in target:
+        raise PathError("the target holds what no target may hold")
+    authority = None
+    if match := SCHEME.match(target):
+        authority, target = match[1], target[match.end() :] or "/"
+        if target.startswith("?"):
+            target = "/" + target
+        if not authority or "@" in authority:
+            raise PathError("the target's authority can't be used")
+    path, mark, query = target.partition("?")
+    return authority, path, mark + query
+
+
+def normal_host(authority: str) -> str:
+    """A host in lower case, without its port and closing dot; an IPv6 one keeps its brackets."""
+    bracketed = authority.startswith("[")
+    host = authority.partition("]")[0] + "]" if bracketed else authority.partition(":")[0]
+    return host.lower().removesuffix(".")
--- /dev/null
+++ b/basaltpoint/routing/regex.py
@@ -0,0 +1,46 @@
+"""Regular expressions of routes, on RE2: its time is linear in the text, so no path can stall the loop."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+MEMORY = 8 << 20  # bytes that one expression's automaton may take; a larger one is refused at its compiling
+
+
+class RegexError(ValueError):
+    """An expression that RE2 does not take; says why."""
+
+
+def check(expression: str) -> None:
+    """RegexError where the expression can't be used: bad syntax, back references, look-around, too large."""
+    import re2  # type: ignore[import-untyped]
+
+    try:
+        re2.compile(expression, _options(re2))
+    except re2.error as error:
+        text = error.args[0] if error.args else error
+        raise RegexError(text.decode(errors="replace") if isinstance(text, bytes) else str(text)) from None
+
+
+def _options(re2: Any) -> Any:
+    options = re2.Options()
+    options.max_mem = MEMORY
+    options.log_errors = False
+    return options
+
+
+class Set:
+    """Expressions searched together. `^` and `$` anchor; without them one is found anywhere in the path."""
+
+    def __init__(self, expressions: Sequence[str]) -> None:
+        import re2
+
+        self._set = re2.Set.SearchSet(_options(re2))
+        for expression in expressions:
+            self._set.Add(expression)
+        self._set.Compile()
+
+    def match(self, text: str) -> Sequence[int]:
+        found: Sequence[int] = self._set.Match(text)
+        return found
--- /dev/null
+++ b/basaltpoint/routing/routes.py
@@ -0,0 +1,229 @@
+"""Routes: which pool, class and units a request gets, by host, path, method and headers.
+
+A route matches when all its conditions hold. Of those that match, the first in this order is taken:
+
+1. the higher `priority`;
+2. host: exact, then the longest wildcard, then none;
+3. path: exact, then the longest prefix, then regular expressions, then none;
+4. the one with more conditions on method and headers;
+5. the one that stands first in the file.
+
+The order is total and does not depend on the request, so each route has a rank, and the cost of a match
+grows with the segments of the path, not with the number of routes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Protocol
+
+from basaltpoint.interface import Effect
+
+
+class Form(IntEnum):
+    """How a route's path is written; the order is that of precedence."""
+
+    EXACT = 0
+    PREFIX = 1
+    REGEX = 2
+    ANY = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Rewrite:
+    """Replace the matched prefix `old` of the normal path by `new`; the rest stays."""
+
+    old: str
+    new: str
+
+    def apply(self, path: str) -> str:
+        """The path as the server gets it; it always begins with one slash."""
+        rest = path[len(self.old) :]
+        joined = self.new + rest
+        if self.new.endswith("/") and rest.startswith("/"):
+            joined = self.new + rest[1:]
+        return joined if joined.startswith("/") else "/" + joined
+
+
+@dataclass(frozen=True, slots=True)
+class Handling:
+    """What a request's class asks of the front. `twin` is the class of a keyed request without its key."""
+
+    cls: int
+    effect: Effect
+    deadline_ms: float
+    key_header: str = ""
+    twin: int | None = None  # None: refused
+    deadline_header: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Conditions, and what holds for a request that meets them. Empty conditions hold always.
+
+    `headers` maps a lower-case name to the value it must have, `*` for any, `!` for none.
+    """
+
+    name: str
+    pool: int
+    handling: Handling
+    form: Form = Form.ANY
+    path: str = ""
+    hosts: tuple[str, ...] = ()
+    methods: frozenset[str] = frozenset()
+    headers: tuple[tuple[str, str], ...] = ()
+    priority: int = 0
+    units: float = 1.0
+    rewrite: Rewrite | None = None
+    set_headers: tuple[tuple[bytes, bytes], ...] = ()  # on the request that goes on
+    drop_headers: frozenset[bytes] = frozenset()
+    answer_headers: tuple[tuple[bytes, bytes], ...] = ()
+    body_bytes: int = 65536  # bodies up to it are kept, so that the request can be repeated
+    body_most: int = 0  # longer ones are refused; 0: no bound
+
+
+@dataclass(frozen=True, slots=True)
+class Match:
+    """`route`, or the methods that the host and path would have allowed; none: nothing is there."""
+
+    route: Route | None
+    allowed: frozenset[str] = frozenset()
+
+
+class RegexSet(Protocol):
+    """Many expressions searched in one pass, in time linear in the text."""
+
+    def match(self, text: str) -> Sequence[int]: ...
+
+
+def prefix_holds(prefix: str, path: str) -> bool:
+    """`/a` holds for `/a` and below, not for `/ab`; `/a/` only below."""
+    if prefix.endswith("/"):
+        return path.startswith(prefix)
+    return path == prefix or path.startswith(prefix + "/")
+
+
+def wildcard_holds(wildcard: str, host: str) -> bool:
+    """`*.example.org` holds for any host below example.org, at any depth, not for itself."""
+    return len(host) >= len(wildcard) and host.endswith(wildcard[1:])
+
+
+def _rank(route: Route, host: str, position: int) -> tuple[int, ...]:
+    kind = 2 if not host else 1 if host.startswith("*") else 0
+    conditions = len(route.headers) + bool(route.methods)
+    length = len(route.path) if route.form is Form.PREFIX else 0
+    return -route.priority, kind, -len(host), route.form, -length, -conditions, position
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """The routes of one host condition, by how their path is written. A row is (rank, route)."""
+
+    exact: dict[str, list[tuple[int, Route]]] = field(default_factory=dict)
+    prefix: dict[str, list[tuple[int, Route]]] = field(default_factory=dict)
+    regex: list[tuple[int, Route]] = field(default_factory=list)
+    every: list[tuple[int, Route]] = field(default_factory=list)
+    found: RegexSet | None = None
+
+    def add(self, rank: int, route: Route) -> None:
+        row = rank, route
+        match route.form:
+            case Form.EXACT:
+                self.exact.setdefault(route.path, []).append(row)
+            case Form.PREFIX:
+                self.prefix.setdefault(route.path, []).append(row)
+            case Form.REGEX:
+                self.regex.append(row)
+            case Form.ANY:
+                self.every.append(row)
+
+    def candidates(self, path: str) -> Iterable[tuple[int, Route]]:
+        yield from self.exact.get(path, ())
+        if self.prefix:
+            yield from self.prefix.get(path, ())
+            at = path.rfind("/")
+            while at >= 0:
+                yield from self.prefix.get(path[: at + 1], ()) if at + 1 < len(path) else ()
+                yield from self.prefix.get(path[:at], ()) if at else ()
+                at = path.rfind("/", 0, at)
+        if self.found is not None:
+            for index in self.found.match(path):
+                yield self.regex[index]
+        yield from self.every
+
+
+def conditions_hold(route: Route, method: str, headers: Mapping[str, str]) -> bool:
+    """Whether method and headers are as the route wants them."""
+    if route.methods and method not in route.methods:
+        return False
+    return headers_hold(route, headers)
+
+
+def headers_hold(route: Route, headers: Mapping[str, str]) -> bool:
+    for name, wanted in route.headers:
+        value = headers.get(name)
+        if wanted == "!":
+            if value is not None:
+                return False
+        elif value is None or wanted not in ("*", value):
+            return False
+    return True
+
+
+class Routes:
+    """All routes of a configuration, indexed; it never changes, a reload makes another."""
+
+    def __init__(
+        self, routes: Sequence[Route], compile_set: Callable[[Sequence[str]], RegexSet] | None = None
+    ) -> None:
+        """`compile_set` makes a RegexSet of expressions; needed where a route has one."""
+        rows = [
+            (_rank(route, host, at), host, route)
+            for at, route in enumerate(routes)
+            for host in route.hosts or ("",)
+        ]
+        rows.sort(key=lambda row: row[0])
+        self.routes = tuple(routes)
+        self._exact: dict[str, _Bucket] = {}
+        self._wild: dict[str, _Bucket] = {}
+        self._any = _Bucket()
+        for rank, (_, host, route) in enumerate(rows):
+            self._bucket(host).add(rank, route)
+        for bucket in (self._any, *self._exact.values(), *self._wild.values()):
+            if bucket.regex:
+                assert compile_set is not None, "a route has an expression, and nothing compiles it"
+                bucket.found = compile_set([route.path for _, route in bucket.regex])
+
+    def _bucket(self, host: str) -> _Bucket:
+        if not host:
+            return self._any
+        if host.startswith("*."):
+            return self._wild.setdefault(host[2:], _Bucket())
+        return self._exact.setdefault(host, _Bucket())
+
+    def _buckets(self, host: str) -> Iterable[_Bucket]:
+        if bucket := self._exact.get(host):
+            yield bucket
+        if self._wild:
+            at = host.find(".")
+            while at >= 0:
+                if bucket := self._wild.get(host[at + 1 :]):
+                    yield bucket
+                at = host.find(".", at + 1)
+        yield self._any
+
+    def match(self, host: str, path: str, method: str, headers: Mapping[str, str]) -> Match:
+        """The route of a request; host and path in normal form, header names in lower case."""
+        best: tuple[int, Route] | None = None
+        allowed: set[str] = set()
+        for bucket in self._buckets(host):
+            for row in bucket.candidates(path):
+                if best is not None and row[0] > best[0]:
+                    continue
+                if conditions_hold(row[1], method, headers):
+                    best = row
+                elif row[1].methods and method not in row[1].methods and headers_hold(row[1], headers):
+                    allowed |= row[1].methods
+        return Match(best[1]) if best else Match(None, frozenset(allowed))
