Standalone front: any HTTP/1.1 API streamed through routes and pools

Need: the program served one platform only and held every answer whole.

Change: fronts/http reads requests, matches routes, tells accounts and streams answers with back pressure both ways; upstream/streams.py is the connection for it, upstream/whole.py the platform's. The table knows streams, streamed bodies and answers that are passed on though they count as failed. Commands: serve, check, hash-key, reference. policy/probes.py: a server that probes find back is taken as cold where cold_ms is set.

--- a/basaltpoint/__main__.py
+++ b/basaltpoint/__main__.py
@@ -1,14 +1,20 @@
-"""`python -m basaltpoint`: with `GW_CONFIG` the platform's limiter, until SIGTERM."""
+"""`python -m basaltpoint`: the commands; with `GW_CONFIG` and no command the platform's limiter."""
 
 from __future__ import annotations
 
+import os
 import sys
 
 
 def main() -> int:
-    from basaltpoint.daemon.platform import main as platform
+    """Run; the exit code."""
+    if len(sys.argv) == 1 and "GW_CONFIG" in os.environ:
+        from basaltpoint.daemon.platform import main as platform
 
-    return platform()
+        return platform()
+    from basaltpoint.cli import main as commands
+
+    return commands()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/basaltpoint/cli.py
@@ -0,0 +1,76 @@
+"""The commands. Each imports what it needs when it runs: the platform's start shall load nothing of it."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+
+def _serve(args: argparse.Namespace) -> int:
+    from basaltpoint.daemon.standalone import run
+
+    return run(args.config)
+
+
+def _check(args: argparse.Namespace) -> int:
+    from basaltpoint.config.build import load
+    from basaltpoint.config.decode import FileError
+
+    try:
+        setup = load(args.config)
+    except FileError as error:
+        print(error, file=sys.stderr)
+        return 2
+    file = setup.file
+    print(
+        f"{args.config}: good; {len(file.route)} routes, {len(file.pool)} pools, {len(file.server)} servers, "
+        f"{len(file.plan)} plans, {len(setup.accounts)} keys"
+    )
+    return 0
+
+
+def _hash_key(args: argparse.Namespace) -> int:
+    from basaltpoint.routing.accounts import SHORTEST_KEY, digest
+
+    key = sys.stdin.buffer.readline().strip()
+    if len(key) < SHORTEST_KEY:
+        print(f"a key has {SHORTEST_KEY} bytes at least; this one has {len(key)}", file=sys.stderr)
+        return 2
+    print("sha256:" + digest(key).hex())
+    return 0
+
+
+def _reference(args: argparse.Namespace) -> int:
+    from basaltpoint.config.reference import reference
+
+    print(reference(), end="")
+    return 0
+
+
+def parser() -> argparse.ArgumentParser:
+    """All commands and their arguments."""
+    top = argparse.ArgumentParser(
+        prog="basaltpoint", description="A request limiter in front of a shared API."
+    )
+    commands = top.add_subparsers(dest="command", required=True)
+    serve = commands.add_parser("serve", help="serve as the file says, until SIGTERM; SIGHUP reads it again")
+    serve.add_argument("config", type=Path)
+    serve.set_defaults(run=_serve)
+    check = commands.add_parser(
+        "check", help="check a file and tell every problem; exit code 2 where there is one"
+    )
+    check.add_argument("config", type=Path)
+    check.set_defaults(run=_check)
+    key = commands.add_parser("hash-key", help="read an API key from standard input and print its digest")
+    key.set_defaults(run=_hash_key)
+    ref = commands.add_parser("reference", help="print the reference of the configuration file")
+    ref.set_defaults(run=_reference)
+    return top
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run a command; the exit code."""
+    args = parser().parse_args(argv)
+    code: int = args.run(args)
+    return code
--- /dev/null
+++ b/basaltpoint/config/reference.py
@@ -0,0 +1,73 @@
+"""The reference of the configuration file, made from its schema, so that it can't be out of date."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import msgspec
+from msgspec import inspect
+
+from basaltpoint.config import schema
+from basaltpoint.config.decode import allowed, bare, shown
+
+HEAD = """# Configuration reference
+
+Made from the schema by `basaltpoint reference`; a test holds this page to it. Times and sizes carry their
+unit in the key's name. Unknown keys are errors.
+"""
+
+
+def reference() -> str:
+    """The whole page."""
+    info = inspect.type_info(schema.File)
+    assert isinstance(info, inspect.StructType)
+    parts = [HEAD, _table("Top of the file", info)]
+    for field in info.fields:
+        kind = bare(field.type)
+        many = isinstance(kind, inspect.VarTupleType)
+        inner = bare(kind.item_type) if isinstance(kind, inspect.VarTupleType) else kind
+        if isinstance(inner, inspect.StructType):
+            name = field.encode_name
+            title = f"`[[{name}]]`" if many else f"`[{name}]`"
+            parts.append(_table(title, inner))
+    return "\n".join(parts)
+
+
+def _table(title: str, info: inspect.StructType) -> str:
+    doc = (info.cls.__doc__ or "").partition(": ")[2]
+    rows = [f"## {title}", ""]
+    if doc:
+        rows += [doc[0].upper() + doc[1:], ""]
+    rows += ["| key | allowed | default | meaning |", "| --- | --- | --- | --- |"]
+    for field in info.fields:
+        kind = bare(field.type)
+        inner = bare(kind.item_type) if isinstance(kind, inspect.VarTupleType) else kind
+        if isinstance(inner, inspect.StructType):
+            continue
+        cells = f"`{field.encode_name}`", allowed(field.type), _default(field), _description(field.type)
+        rows.append("| " + " | ".join(map(_escape, cells)) + " |")
+    return "\n".join(rows) + "\n"
+
+
+def _description(kind: inspect.Type) -> str:
+    while isinstance(kind, inspect.Metadata):
+        if kind.extra_json_schema and "description" in kind.extra_json_schema:
+            return str(kind.extra_json_schema["description"])
+        kind = kind.type
+    return ""
+
+
+def _default(field: inspect.Field) -> str:
+    if field.required:
+        return "required"
+    value: Any = field.default if field.default is not msgspec.NODEFAULT else field.default_factory()
+    if isinstance(value, enum.Enum):
+        value = value.value
+    if value in ("", (), {}):
+        return "none"
+    return f"`{shown(value)}`"
+
+
+def _escape(text: str) -> str:
+    return text.replace("|", "\\|")
--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -22,6 +22,7 @@
 from basaltpoint import interface as api
 from basaltpoint.interface import Status
 
+MOOTS = 100  # sends that can't be made, told at a time
 COMPACT = 256  # entries of the timer heap; from here on it is rebuilt once most of them are over
 
 
@@ -111,12 +112,15 @@
 
     name: bytes
     deadline_ms: float  # the module's
-    attempts: int = 0
+    attempts: int = 0  # that went out
     out: int | None = None  # the attempt that is out
     server: int = 0  # and where
     sent_ms: float = 0.0
     head_ms: float = 0.0  # when its answer began to be passed on; 0: not yet
     open: bool = True
+    wait_ms: float = 0.0
+    spent: bool = False  # part of its body is gone: no attempt can follow
+    uploading: bool = False  # its body is on its way still: no deadline counts
 
 
 class Table:
@@ -130,6 +134,7 @@
         self.names: set[bytes] = set()  # of the open requests
         self.open = 0
         self._count = 0
+        self._moots = 0  # sends that could not be made, in this run
         self._timers: list[tuple[float, int, int]] = []  # when, request (0: the module's), token
         self._events: deque[api.Event] = deque()
         self._effects: list[Effect] = []
@@ -145,7 +150,7 @@
             # Sent on, a server would see it as a second copy of the one that is open.
             return ident, [Reply(ident, Ending.TWIN)]
         deadline = now + max(ticket.wait_ms - ticket.early_ms, ticket.wait_ms / 2)
-        self.entries[ident] = Entry(ticket.name, deadline)
+        self.entries[ident] = Entry(ticket.name, deadline, wait_ms=ticket.wait_ms)
         if ticket.name:
             self.names.add(ticket.name)
         self.open += 1
@@ -196,8 +201,12 @@
         usage: int | None = None,
         report: tuple[float, ...] = (),
         payload: object = None,
+        final: bool = False,
     ) -> list[Effect]:
-        """An attempt's end: the first good one is the client's, and each is told the module."""
+        """An attempt's end: the first good one is the client's, and each is told the module.
+
+        `final`: what came is a whole answer and the client's, though the attempt counts as failed.
+        """
         entry = self.entries.get(ident)
         if entry is None or entry.out != attempt:
             return []
@@ -206,6 +215,8 @@
         elapsed = (entry.head_ms or now) - entry.sent_ms
         if entry.open and status is Status.OK:
             self._reply(ident, entry, Reply(ident, Ending.SERVED, payload=payload))
+        elif entry.open and final:
+            self._reply(ident, entry, Reply(ident, Ending.FAILED, payload=payload))
         elif entry.open and entry.head_ms:
             self._reply(ident, entry, Reply(ident, Ending.CUT))
         closed = not entry.open
@@ -215,6 +226,18 @@
         )
         return self._run(now)
 
+    def uploading(self, ident: int) -> None:
+        """The request's body is being streamed: no attempt can follow this one, and the deadline rests."""
+        if entry := self.entries.get(ident):
+            entry.spent = entry.uploading = True
+
+    def uploaded(self, now: float, ident: int) -> None:
+        """The body is whole: from now on the client's wait counts, and the server's time."""
+        if (entry := self.entries.get(ident)) and entry.uploading:
+            entry.uploading, entry.sent_ms = False, now
+            entry.deadline_ms = now + entry.wait_ms
+            self._plan(now + entry.wait_ms, ident, 0)
+
     def tell(self, now: float, event: api.Event) -> list[Effect]:
         """Hand on what is the module's alone: lists, probes' results, new settings."""
         self._events.append(event)
@@ -226,11 +249,16 @@
         """When `tick` is due; None while nothing waits."""
         while self._timers:
             when, ident, _ = self._timers[0]
-            if not ident or ((entry := self.entries.get(ident)) and entry.open and not entry.head_ms):
+            if not ident or ((entry := self.entries.get(ident)) and self._waits(entry, when)):
                 return when
             heapq.heappop(self._timers)
         return None
 
+    def _waits(self, entry: Entry, when: float) -> bool:
+        """Whether the deadline that was set for this time still holds."""
+        moved = entry.spent and when < entry.deadline_ms
+        return entry.open and not entry.head_ms and not entry.uploading and not moved
+
     def tick(self, now: float) -> list[Effect]:
         """What is due by now: the module's timers, and replies to requests that it left unanswered."""
         while (when := self.next_ms) is not None and when <= now:
@@ -250,6 +278,7 @@
 
     # --- The module's actions -----------------------------------------------------------------
     def _run(self, now: float) -> list[Effect]:
+        self._moots = 0
         while self._events:
             event = self._events.popleft()
             try:
@@ -290,15 +319,23 @@
         entry = self.entries.get(ident)
         number = entry.attempts if entry else 0
         until = min(action.until_ms or entry.deadline_ms, entry.deadline_ms) if entry else 0.0
-        fit = entry is not None and entry.open and entry.out is None and not entry.head_ms
+        fit = entry is not None and entry.open and entry.out is None and not (entry.head_ms or entry.spent)
         if entry is None or not fit or now >= until or number >= self.max_attempts:
-            closed = entry is None or not entry.open
-            self._events.append(api.Outcome(ident, number, action.server, Status.MOOT, 0.0, closed))
+            gone = entry is None or not entry.open
+            self._moot(api.Outcome(ident, number, action.server, Status.MOOT, 0.0, gone))
             return
         entry.attempts += 1
         entry.out, entry.server, entry.sent_ms = number, action.server, now
         self._effects.append(Dispatch(ident, number, action.server, until))
 
+    def _moot(self, outcome: api.Outcome) -> None:
+        """Tell of a send that can't be made; a module that answers each with another must not hang all."""
+        self._moots += 1
+        if self._moots <= MOOTS:
+            self._events.append(outcome)
+        elif self._moots == MOOTS + 1:
+            self._effects.append(Fault(f"the module sends what can't be sent, again and again: {outcome!r}"))
+
     def _answer(self, ident: int, ending: Ending, retry_ms: float = 0.0, why: api.Why | None = None) -> None:
         entry = self.entries.get(ident)
         if entry and entry.open and not entry.head_ms:
--- /dev/null
+++ b/basaltpoint/daemon/standalone.py
@@ -0,0 +1,138 @@
+"""`basaltpoint serve`: the standalone limiter from its file; reload on SIGHUP, drain on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import secrets
+import signal
+import socket
+from pathlib import Path
+
+import uvloop
+
+from basaltpoint.config import build
+from basaltpoint.config.build import Numbers, Setup
+from basaltpoint.config.decode import FileError, Problem, shown
+from basaltpoint.fronts.http.connection import ClientConnection
+from basaltpoint.fronts.http.relay import Relay
+
+log = logging.getLogger("basaltpoint")
+
+SWEEP_S = 0.25
+BACKLOG = 1024
+
+
+class Standalone:
+    """One limiter from one file."""
+
+    def __init__(self, path: Path, seed: int | None = None) -> None:
+        self.path = path
+        self._numbers = Numbers()
+        self.setup: Setup = build.load(path, self._numbers)
+        self._seed = secrets.randbits(64) if seed is None else seed
+        self.relay: Relay
+        self.address = ("", 0)
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen and serve; OSError where the address can't be had."""
+        self.relay = Relay(self.setup, self._seed)
+        host, port = self.setup.listen
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        sock.setblocking(False)
+        bound = sock.getsockname()
+        self.address = bound[0], bound[1]
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ClientConnection(self.relay), sock=sock, backlog=BACKLOG
+        )
+        self._sweeper = loop.create_task(self._sweep())
+        log.info("%s listens at %s:%d", self.setup.file.name, *self.address)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.relay.sweep()
+
+    def reload(self) -> bool:
+        """Take up the file as it is now; one with any problem changes nothing, and each is told."""
+        try:
+            setup = build.load(self.path, self._numbers)
+            self._same(setup)
+        except FileError as error:
+            for problem in error.problems:
+                log.error("%s", problem)
+            log.error("the configuration stays as it was")
+            return False
+        self.setup = setup
+        self.relay.apply(setup)
+        log.info("%s was taken up again", self.path)
+        return True
+
+    def _same(self, setup: Setup) -> None:
+        """What can't change under a running process is an error, not silently old."""
+        old, new = self.setup.file, setup.file
+        allowed = "as at the start, or a restart"
+        wrong = [
+            Problem(str(self.path), key, f"found {shown(str(getattr(new, key)))}", allowed)
+            for key in ("listen", "limits", "name")
+            if getattr(old, key) != getattr(new, key)
+        ]
+        if wrong:
+            raise FileError(wrong)
+
+    async def drain(self) -> None:
+        """Finish what was taken, and end."""
+        self.relay.closing = True
+        if self._server:
+            self._server.close()
+        end = asyncio.get_running_loop().time() + self.setup.file.clients.drain_s
+        while self.relay.open and asyncio.get_running_loop().time() < end:
+            self.relay.close_idle()
+            await asyncio.sleep(0.01)
+        self.relay.close_idle()
+        await self.close()
+
+    async def close(self) -> None:
+        """End at once."""
+        if self._server:
+            self._server.close()
+        if self._sweeper:
+            self._sweeper.cancel()
+        self.relay.close()
+        await asyncio.sleep(0)
+
+
+async def _serve(limiter: Standalone) -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, limiter.reload)
+    await limiter.start()
+    await stop.wait()
+    log.info("draining")
+    await limiter.drain()
+
+
+def run(path: Path) -> int:
+    """Serve until told to end; the exit code."""
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    try:
+        limiter = Standalone(path)
+    except FileError as error:
+        for problem in error.problems:
+            log.error("%s", problem)
+        return 2
+    # The start's objects stay for good; searching them again and again would stall requests.
+    gc.freeze()
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(limiter))
+    except OSError as error:
+        log.error("%s: %s", limiter.setup.file.listen, error)
+        return 1
+    return 0
--- /dev/null
+++ b/basaltpoint/fronts/http/relay.py
@@ -0,0 +1,360 @@
+"""The ordinary front: routes and accounts to arrivals, the table's effects to attempts and answers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import time
+from collections import deque
+from functools import partial
+
+from basaltpoint import interface as api
+from basaltpoint.config.build import ServerSpec, Setup
+from basaltpoint.core.table import Begin, Dispatch, Effect, Ending, Fault, Reply, Table, Ticket, Withdraw
+from basaltpoint.fronts.http import message
+from basaltpoint.fronts.http.connection import ClientConnection
+from basaltpoint.fronts.http.message import BadRequestError, Changes, Headers, Origin, Outgoing, Request
+from basaltpoint.fronts.http.passage import Check, Passage
+from basaltpoint.interface import Effect as Repeats
+from basaltpoint.interface import ServerState, Status, Why
+from basaltpoint.policy import Gateway
+from basaltpoint.routing.accounts import Stranger, client_address
+from basaltpoint.upstream.servers import TIMER_S, Answer, Servers
+from basaltpoint.upstream.streams import StreamAnswers, StreamAttempt
+
+log = logging.getLogger(__name__)
+
+EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
+EARLY_MS = 10.0  # the module's deadline lies so much before the client's: the answer is on its way, too
+DAY_S = 86400.0  # stands for no limit while a body is on its way; the stall bound ends it
+MARGIN = 32  # descriptors for the listener, the loop and the log
+SERVER_PART = 0.4  # of the sockets may be connections to servers
+
+
+class Relay:
+    """Holds the request table, the servers and what the present configuration says."""
+
+    def __init__(self, setup: Setup, seed: int) -> None:
+        file = setup.file
+        self.setup = setup
+        self.name = file.name.encode()
+        self.head_limit = file.limits.head_kb * 1024
+        self.buffer = file.limits.buffer_kb * 1024
+        self.closing = False
+        self.gateway = Gateway(setup.settings, seed)
+        self.table = Table(self.gateway, setup.settings.max_attempts, file.limits.requests)
+        self.connections: dict[ClientConnection, None] = {}
+        self._origin = time.monotonic()
+        make = partial(StreamAnswers, head_limit=self.head_limit, buffer=self.buffer)
+        most = int((file.limits.sockets - MARGIN) * SERVER_PART)
+        self.most_clients = file.limits.sockets - MARGIN - most
+        up = file.upstream
+        self.servers = Servers(most, up.connect_ms / 1000, up.idle_ms / 1000, make)
+        self._placed: dict[int, ServerSpec] = {}
+        self._started: dict[int, float] = {}  # when a server was first heard of, after the start
+        self._pools: set[int] = set()
+        self._passages: dict[int, Passage] = {}  # that wait for their reply
+        self._attempts: dict[int, StreamAttempt] = {}  # the one that is out, by request
+        self._memory = int(file.limits.memory_mb * (1 << 20))
+        self._held = 0  # bytes of bodies
+        self._effects: deque[Effect] = deque()
+        self._busy = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._apply(setup, first=True)
+
+    # --- Clock -------------------------------------------------------------------------------------
+    def now(self) -> float:
+        return (time.monotonic() - self._origin) * 1000 + EPOCH_MS
+
+    def _loop_time(self, ms: float) -> float:
+        return (ms - EPOCH_MS) / 1000 + self._origin
+
+    # --- Configuration -----------------------------------------------------------------------------
+    def apply(self, setup: Setup) -> None:
+        """Go over to another configuration at once; requests that are out keep what they were taken with."""
+        self._do(self.table.tell(self.now(), api.NewSettings(setup.settings)))
+        self._apply(setup, first=False)
+
+    def _apply(self, setup: Setup, first: bool) -> None:
+        now, before = self.now(), self._placed
+        self.setup = setup
+        up = setup.file.upstream
+        self.table.max_attempts = up.attempts
+        self.servers.retune(up.connect_ms / 1000, up.idle_ms / 1000)
+        self._placed = {spec.number: spec for spec in setup.servers}
+        for spec in setup.servers:
+            self.servers.place(spec.number, spec.address, not spec.drain, spec.connections)
+            self._started.setdefault(spec.number, 0.0 if first else now)
+        pools = set(setup.pools.values())
+        for pool in sorted(pools | self._pools):
+            members = tuple(self._server(spec) for spec in setup.servers if pool in spec.pools)
+            self._do(self.table.tell(now, api.ServerList(api.ListKind.FULL, members, pool)))
+        self._pools = pools
+        for number in before.keys() - self._placed.keys():
+            self.servers.remove(number)
+            del self._started[number]
+
+    def _server(self, spec: ServerSpec) -> api.Server:
+        state = ServerState.DRAINING if spec.drain else ServerState.READY
+        started = self._started[spec.number]
+        return api.Server(spec.number, spec.zone, 0, state, spec.weight, started, spec.probe)
+
+    # --- What clients bring --------------------------------------------------------------------------
+    def admit(self, connection: ClientConnection, request: Request) -> Passage:
+        """Route, account and class of a request; BadRequestError where it is answered at once."""
+        setup = self.setup
+        path = request.path
+        match = setup.routes.match(request.host, path, request.method.decode("latin-1"), request.fields)
+        if (route := match.route) is None:
+            if match.allowed:
+                allow = ", ".join(sorted(match.allowed)).encode()
+                raise BadRequestError(405, "no route takes this method here", [(b"Allow", allow)])
+            raise BadRequestError(404, "no route takes this request")
+        forwarded = request.fields.get("x-forwarded-for", "")
+        address = client_address(connection.peer, forwarded, setup.trusted)
+        account = setup.accounts.find(request.fields, address)
+        if isinstance(account, Stranger):
+            what = "the key is unknown" if account.key_came else "a key is needed"
+            raise BadRequestError(401, what, [(b"WWW-Authenticate", b"Bearer")])
+        if request.length and route.body_most and request.length > route.body_most:
+            raise BadRequestError(413, "the body is too long")
+        passage = Passage(self, connection, request, route, account)
+        self._handle(passage)
+        passage.outgoing = self._outgoing(passage, address != connection.peer)
+        return passage
+
+    def _handle(self, passage: Passage) -> None:
+        """What the class of the route asks for: its key, its client's own deadline."""
+        handling, fields = passage.route.handling, passage.request.fields
+        if handling.effect is Repeats.KEYED and not fields.get(handling.key_header):
+            if handling.twin is None:
+                raise BadRequestError(400, f"{handling.key_header} is needed here")
+            passage.cls = handling.twin
+        if handling.deadline_header and (text := fields.get(handling.deadline_header)):
+            passage.wait_ms = min(passage.wait_ms, message.told_deadline_ms(text))
+
+    def _outgoing(self, passage: Passage, trusted: bool) -> Outgoing:
+        route, request, identity = passage.route, passage.request, self.setup.accounts.identity
+        path = route.rewrite.apply(request.path) if route.rewrite else None
+        drops = route.drop_headers
+        if not self.setup.file.identity.forward_key:
+            drops |= {identity.header.encode()}
+            if identity.bearer and identity.header not in request.fields:
+                drops |= {b"authorization"}
+        peer = passage.connection.peer
+        trusted = trusted or client_address(peer, "0.0.0.0", self.setup.trusted) != peer
+        return message.outgoing(
+            request, Origin(peer, self.name, trusted), Changes(path, route.set_headers, drops)
+        )
+
+    def take(self, passage: Passage) -> None:
+        """Hand a request to the table; from here it gets one answer in time."""
+        route, account = passage.route, passage.account
+        ticket = Ticket(
+            passage.cls,
+            account.plan,
+            account.number,
+            route.units,
+            1,
+            passage.wait_ms,
+            EARLY_MS,
+            route.pool,
+        )
+        passage.ident, effects = self.table.take(self.now(), ticket)
+        self._passages[passage.ident] = passage
+        self._do(effects)
+
+    def abandon(self, passage: Passage) -> None:
+        """Its client has gone."""
+        self._passages.pop(passage.ident, None)
+        self._do(self.table.abandon(self.now(), passage.ident))
+
+    def begun(self, passage: Passage) -> None:
+        """Its answer's head has come and is to be passed on."""
+        self._do(self.table.begun(self.now(), passage.ident, passage.number))
+
+    def uploaded(self, passage: Passage) -> None:
+        """Its streamed body is whole: now the deadline counts."""
+        now = self.now()
+        self.table.uploaded(now, passage.ident)
+        if passage.attempt and not passage.passing:
+            passage.attempt.rearm(self._loop_time(now + max(passage.wait_ms - EARLY_MS, passage.wait_ms / 2)))
+        self._arm()
+
+    def hold(self, size: int) -> bool:
+        """Account for so many bytes of bodies; False where the memory has no room for them."""
+        if self._held + size > self._memory:
+            return False
+        self._held += size
+        return True
+
+    def release(self, size: int) -> None:
+        self._held -= size
+
+    def joined(self, connection: ClientConnection) -> None:
+        if len(self.connections) >= self.most_clients and not self._make_room():
+            connection.cut()
+            return
+        self.connections[connection] = None
+
+    def left(self, connection: ClientConnection) -> None:
+        self.connections.pop(connection, None)
+
+    def _make_room(self) -> bool:
+        """Close the connection that has been between requests for longest; new ones get their turn."""
+        idle = min((c for c in self.connections if c.idle), key=lambda c: c.heard, default=None)
+        if idle is None:
+            return False
+        del self.connections[idle]
+        idle.close()
+        return True
+
+    # --- Effects -------------------------------------------------------------------------------------
+    def _do(self, effects: list[Effect]) -> None:
+        """Carry effects out; what they cause themselves waits until they are done."""
+        self._effects += effects
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._effects:
+                self._carry_out(self._effects.popleft())
+        finally:
+            self._busy = False
+        self._arm()
+
+    def _arm(self) -> None:
+        """Have the table called when it is next due. Most requests end long before: the timer stays."""
+        if (due := self.table.next_ms) is None:
+            return
+        when = self._loop_time(due)
+        if self._timer is None or when < self._timer.when() - TIMER_S:
+            if self._timer:
+                self._timer.cancel()
+            self._timer = asyncio.get_running_loop().call_at(when + TIMER_S, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._do(self.table.tick(self.now()))
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Dispatch():
+                self._dispatch(effect)
+            case Begin():
+                if passage := self._passages.get(effect.request):
+                    passage.passing = True
+            case Reply():
+                if passage := self._passages.pop(effect.request, None):
+                    passage.reply(effect)
+            case Withdraw():
+                self._withdraw(effect)
+            case api.Probe():
+                self._probe(effect.server)
+            case api.CloseIdle():
+                self.servers.close_idle(effect.server)
+            case api.Log():
+                log.info("module: %s", effect.text)
+            case Fault():
+                log.error("%s", effect.text)
+
+    def _dispatch(self, effect: Dispatch) -> None:
+        passage = self._passages[effect.request]  # the table sends for no other
+        until = self._loop_time(effect.until_ms)
+        if passage.streamed:
+            until = asyncio.get_running_loop().time() + DAY_S
+        head_only = passage.request.method == b"HEAD"
+        ident = effect.request
+        attempt = StreamAttempt(
+            passage.message(), until, partial(self._ended, ident, passage), passage, head_only
+        )
+        # Before it begins: over a kept connection all of a streamed body may go at once.
+        passage.attempt = self._attempts[ident] = attempt
+        passage.number = effect.attempt
+        self.servers.begin(effect.server, attempt)
+
+    def _ended(self, ident: int, passage: Passage, answer: Answer) -> None:
+        self._attempts.pop(ident, None)
+        passage.ended(answer)
+
+    def ended(self, passage: Passage, status: Status, final: bool) -> None:
+        """An attempt of it is over."""
+        self._do(self.table.ended(self.now(), passage.ident, passage.number, status, final=final))
+
+    def _withdraw(self, effect: Withdraw) -> None:
+        if attempt := self._attempts.get(effect.request):
+            attempt.cancel()
+
+    def _probe(self, server: int) -> None:
+        health, now, check = self.setup.file.health, self.now(), Check()
+        if health is None or server not in self._placed:
+            self._do(self.table.tell(now, api.ProbeResult(server, Status.CANCELLED, 0.0)))
+            return
+        host, port = self._placed[server].address
+        name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        raw = f"GET {health.path} HTTP/1.1\r\nHost: {name}\r\nUser-Agent: {self.setup.file.name}\r\n\r\n"
+
+        def ended(answer: Answer) -> None:
+            good = answer.status is Status.OK and check.good
+            status = Status.OK if good else Status.ERROR
+            self._do(self.table.tell(self.now(), api.ProbeResult(server, status, self.now() - now)))
+
+        until = self._loop_time(now + health.timeout_ms)
+        self.servers.begin(server, StreamAttempt(raw.encode(), until, ended, check, False))
+
+    # --- What goes with a refusal ----------------------------------------------------------------------
+    def advice(self, passage: Passage, effect: Reply) -> Headers:
+        """Retry-After in whole seconds, and the account's standing (draft-ietf-httpapi-ratelimit-headers)."""
+        headers: Headers = []
+        if effect.ending is not Ending.REFUSED:
+            return headers
+        if effect.retry_in_ms > 0:
+            headers.append((b"Retry-After", b"%d" % math.ceil(effect.retry_in_ms / 1000)))
+        standing = self.gateway.standing(self.now(), passage.account.number)
+        if standing and effect.why in (Why.QUOTA, Why.CEILING, Why.PARALLEL):
+            window, full = math.ceil(standing.burst / standing.rate), math.ceil(standing.full_in_ms / 1000)
+            headers.append((b"RateLimit-Policy", b'"quota";q=%d;w=%d' % (standing.burst, window)))
+            headers.append((b"RateLimit", b'"quota";r=%d;t=%d' % (standing.left, full)))
+        return headers
+
+    # --- Bounds in time ------------------------------------------------------------------------------
+    def sweep(self) -> None:
+        """End what stands still: connections, bodies, answers; each would hold its place for good."""
+        self.servers.sweep()
+        now, clients = time.monotonic(), self.setup.file.clients
+        for connection in list(self.connections):
+            if connection.begun is not None and now - connection.begun > clients.head_s:
+                connection.time_out("the head does not come whole")
+            elif connection.stuck is not None and now - connection.stuck > clients.stall_s:
+                log.warning("a client at %s has stopped reading its answer", connection.peer)
+                connection.cut()
+            elif connection.waits_for_body and now - connection.heard > clients.stall_s:
+                connection.time_out("the body does not come whole")
+            elif connection.idle and now - connection.heard > clients.idle_s:
+                connection.close()
+        for passage in list(self._passages.values()):
+            stream = passage.stream
+            if stream and passage.passing and not stream.paused and now - stream.heard > clients.stall_s:
+                log.warning("a server has stopped in the middle of its answer")
+                stream.fail()
+
+    @property
+    def open(self) -> int:
+        """Requests in hand, with those whose body is still coming."""
+        return sum(1 for connection in self.connections if not connection.idle)
+
+    def close_idle(self) -> None:
+        """Part of a drain: connections between requests go."""
+        for connection in [c for c in self.connections if c.idle]:
+            connection.close()
+
+    def close(self) -> None:
+        """End all that is left."""
+        for connection in list(self.connections):
+            connection.cut()
+        for attempt in list(self._attempts.values()):
+            attempt.cancel()
+        self.servers.close()
+        if self._timer:
+            self._timer.cancel()
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -19,6 +19,7 @@
 from basaltpoint.membership.discovery import Host, HostList, parse_list
 from basaltpoint.policy import Gateway
 from basaltpoint.upstream.servers import TIMER_S, Answer, Attempt, Servers
+from basaltpoint.upstream.whole import REUSE_S, WholeAnswers
 
 log = logging.getLogger(__name__)
 
@@ -84,7 +85,8 @@
         self._origin = time.monotonic()
         # One offset for good: converted afresh each time, a start would seem to move and be a restart.
         self._wall_ms = EPOCH_MS - time.time() * 1000
-        self._servers = Servers(int((config.sockets - MARGIN) * SERVER_PART), config.connect_s, config.idle_s)
+        most = int((config.sockets - MARGIN) * SERVER_PART)
+        self._servers = Servers(most, config.connect_s, min(config.idle_s / 2, REUSE_S), WholeAnswers)
         self._numbers: dict[str, int] = {}  # of the servers that are not gone
         self._next_number = itertools.count()  # never used again: outcomes may come after the end
         self._zones = {zone: number for number, zone in enumerate(config.zones)}
--- a/basaltpoint/policy/fleet.py
+++ b/basaltpoint/policy/fleet.py
@@ -37,6 +37,7 @@
     backoff: int = 0
     errors: int = 0  # since its last good answer
     avoid_ms: float = -INF
+    up_ms: float = 0.0  # when probes last found it back
     down: bool = False  # by probes
     streak: int = 0  # of probes that speak against `down`
     fleets: list[Fleet] = field(default_factory=list)
@@ -115,9 +116,10 @@
 
     def warmth(self, peer: Peer, now: float) -> float:
         """The part of its capacity a server surely has: from cold_from, evenly over cold_ms."""
-        if peer.entry.started_ms <= 0 or self.settings.cold_ms <= 0:
+        started = max(peer.entry.started_ms, peer.health.up_ms)
+        if started <= 0 or self.settings.cold_ms <= 0:
             return 1.0
-        age = max(0.0, now - peer.entry.started_ms) / self.settings.cold_ms
+        age = max(0.0, now - started) / self.settings.cold_ms
         return min(1.0, self.settings.cold_from + (1.0 - self.settings.cold_from) * age)
 
     def _fill(self, peer: Peer, now: float) -> float:
--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -179,7 +179,7 @@
         self.requests[event.request] = request
         if in_time and self._late(now, event, pool) and not customer.spares(now, event.units):
             request.why = Why.LATE
-        elif why := customer.bars(now, event.units, self.rng.random(), cls.worth / self.dearest):
+        elif why := self._bars(now, event, customer, cls.worth / self.dearest):
             request.why = why
         else:
             pool.arrivals.append((now, request.lane, event.units))
@@ -189,6 +189,9 @@
                 return
         self._answer(now, request)
 
+    def _bars(self, now: float, event: api.Arrival, customer: Customer, worth: float) -> Why | None:
+        return customer.bars(now, event.units, self.rng.random(), worth, self.settings.sole)
+
     def _customer(self, now: float, event: api.Arrival) -> Customer:
         """The customer of an arrival, behind all others: the latest to ask."""
         customer, plan = self.customers.pop(event.customer, None), self.settings.plans[event.plan]
--- a/basaltpoint/policy/probes.py
+++ b/basaltpoint/policy/probes.py
@@ -6,7 +6,7 @@
 import random
 
 from basaltpoint import interface as api
-from basaltpoint.interface import Status
+from basaltpoint.interface import ServerState, Status
 from basaltpoint.policy.fleet import Health
 from basaltpoint.policy.thresholds import INF
 
@@ -27,7 +27,7 @@
     def listed(self, now: float, servers: tuple[api.Server, ...]) -> list[api.Action]:
         """Take up the rules of the servers told of; the first probe comes at random within its period."""
         for server in servers:
-            if server.probe is None:
+            if server.probe is None or server.state is not ServerState.READY:
                 if self.rules.pop(server.id, None) and server.id in self.healths:
                     self.healths[server.id].down = False
                 continue
@@ -71,6 +71,7 @@
         actions = self._timer(now)
         if health.streak >= (rule.rise if health.down else rule.fall):
             health.down, health.streak = not health.down, 0
+            health.up_ms = 0.0 if health.down else now  # what was away may have started anew
             actions.append(
                 api.Log(f"server {event.server} is {'down' if health.down else 'up'} by its probes")
             )
--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -251,10 +251,12 @@
         over = KEPT_OVER * math.sqrt(1.0 - share)
         return (KEPT + over) * (1.0 - worth) * self.plan.burst
 
-    def bars(self, now: float, units: float, dice: float, worth: float = 1.0) -> api.Why | None:
+    def bars(
+        self, now: float, units: float, dice: float, worth: float = 1.0, exact: bool = False
+    ) -> api.Why | None:
         """The let-in share; a store full enough passes without it where it rests on own sends.
 
-        None where the request may go on, else why not.
+        None where the request may go on, else why not. `exact`: nobody else draws, so the store alone counts.
         """
         share = self.share(now)
         self.asked = self.asked * math.exp((self.asked_at - now) / AGE_MS) + units
@@ -263,6 +265,6 @@
             return api.Why.PARALLEL
         if self.plan.rate <= 0:
             return None if dice < share else api.Why.QUOTA
-        left = self.store.refill(now) - units - self._kept(share, worth)
+        left = self.store.refill(now) - units - self._kept(1.0 if exact else share, worth)
         sure = self.part() * self.plan.burst >= OWN_LEAST and left >= SURE_ROOM * self.plan.burst
-        return None if sure or (left >= 0.0 and dice < share) else api.Why.QUOTA
+        return None if sure or (left >= 0.0 and (exact or dice < share)) else api.Why.QUOTA
--- a/basaltpoint/routing/accounts.py
+++ b/basaltpoint/routing/accounts.py
@@ -18,6 +18,7 @@
 
 ANONYMOUS = 1 << 62  # customer numbers from here on are addresses
 PREFIX_V6 = 64  # bits of an IPv6 address that one client is taken to hold
+SHORTEST_KEY = 12  # bytes; a shorter one could be found by trying
 LONGEST_KEY = 4096  # bytes; a longer one is unknown without being hashed
 NOBODY = bytes(32)
 
@@ -65,6 +66,9 @@
         self._by_digest = by_digest
         self.identity = identity
 
+    def __len__(self) -> int:
+        return len(self._by_digest)
+
     def key(self, headers: Mapping[str, str]) -> bytes | None:
         """The key that a request brings; the header goes before the bearer token."""
         if value := headers.get(self.identity.header):
--- /dev/null
+++ b/basaltpoint/upstream/streams.py
@@ -0,0 +1,264 @@
+"""Answers that are passed on as they come: attempts of the ordinary front, with back pressure both ways."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from time import monotonic
+from typing import Protocol
+
+import httptools
+
+from basaltpoint.interface import Status
+from basaltpoint.upstream.servers import Answer, Attempt, Connection, Server, Servers
+
+log = logging.getLogger(__name__)
+
+Headers = list[tuple[bytes, bytes]]
+
+MOST_HEADERS = 256
+
+
+class Receiver(Protocol):
+    """Where an attempt's answer goes, and where the rest of its request's body comes from."""
+
+    def interim(self, code: int, headers: Headers) -> None:
+        """An answer ahead of the final one (1xx)."""
+
+    def head(self, code: int, reason: bytes, headers: Headers, length: int | None) -> None:
+        """The final answer's head; `length` is None where the body's end tells it."""
+
+    def data(self, piece: bytes) -> None:
+        """A piece of the answer's body."""
+
+    def end(self, trailers: Headers) -> None:
+        """The answer is whole; the attempt's end follows."""
+
+    def connected(self, stream: StreamAnswers) -> None:
+        """The head was written; the rest of the body may be sent, where there is any."""
+
+    def writable(self, ready: bool) -> None:
+        """Whether the server takes more of the request's body now."""
+
+
+class StreamAttempt(Attempt):
+    """One message to one server whose answer goes to a receiver."""
+
+    __slots__ = ("head_only", "receiver")
+
+    def __init__(
+        self,
+        message: bytes,
+        until: float,
+        on_end: Callable[[Answer], None],
+        receiver: Receiver,
+        head_only: bool,
+    ) -> None:
+        super().__init__(message, until, on_end)
+        self.receiver = receiver
+        self.head_only = head_only
+
+    def begun(self) -> None:
+        """The answer has begun: its time limit no longer counts."""
+        self._timer.cancel()
+
+
+class StreamAnswers(Connection):
+    """A connection whose answers are handed on piece by piece.
+
+    An attempt that was written to a connection may have run, whole or not: what a server makes of a part of
+    a request can't be known here.
+    """
+
+    def __init__(
+        self, servers: Servers, server: Server, sock: socket.socket, head_limit: int, buffer: int
+    ) -> None:
+        super().__init__(servers, server, sock)
+        self._head_limit = head_limit
+        self._buffer = buffer
+        self._parser = httptools.HttpResponseParser(self)
+        self._attempt: StreamAttempt | None = None
+        self._headers: Headers = []
+        self._reason = b""
+        self._size = 0  # of the head
+        self._headed = self._complete = self._keep = self._to_the_end = self._skip = False
+        self._paused = False
+        self.sending = False  # the request's body is not whole yet
+        self.heard = 0.0  # when the server last said something
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        assert self._transport
+        self._transport.set_write_buffer_limits(high=self._buffer)
+
+    # --- The request ---------------------------------------------------------------------------
+    def start(self, attempt: Attempt) -> None:
+        assert self._transport and isinstance(attempt, StreamAttempt)
+        self._attempt, attempt.connection = attempt, self
+        self._headers, self._reason, self._size = [], b"", 0
+        self._headed = self._complete = self._keep = self._to_the_end = False
+        if self._skip:  # the last answer's body was announced and not sent: a parser would wait for it
+            self._parser, self._skip = httptools.HttpResponseParser(self), False
+        self.sending = False
+        self.heard = monotonic()
+        self._transport.write(attempt.message)
+        self.written = not self._transport.is_closing()
+        attempt.receiver.connected(self)
+
+    def send(self, piece: bytes) -> None:
+        """More of the request's body, framed as its head says."""
+        if self._transport and self._attempt:
+            self._transport.write(piece)
+
+    def pause_writing(self) -> None:
+        if self._attempt:
+            self._attempt.receiver.writable(False)
+
+    def resume_writing(self) -> None:
+        if self._attempt:
+            self._attempt.receiver.writable(True)
+
+    # --- Back pressure -------------------------------------------------------------------------
+    def pause(self, paused: bool) -> None:
+        """Read on only where the answer's reader does."""
+        if self._transport and paused != self._paused and not self._transport.is_closing():
+            self._paused = paused
+            self.heard = monotonic()
+            if paused:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+
+    @property
+    def paused(self) -> bool:
+        return self._paused
+
+    # --- The answer ----------------------------------------------------------------------------
+    def data_received(self, data: bytes) -> None:
+        if self._attempt is None:
+            self.drop()
+            return
+        self.heard = monotonic()
+        self._size += 0 if self._headed else len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._spoil("an upgrade that nobody asked for")
+            return
+        except httptools.HttpParserError as error:
+            self._keep = False
+            if not self._complete:
+                self._spoil(repr(error))
+                return
+        if self._complete:
+            self._finish()
+        elif self._attempt and not self._headed and self._size > self._head_limit:
+            self._spoil("a head that does not end")
+
+    def on_message_begin(self) -> None:
+        if self._complete:
+            self._keep = False  # bytes behind the answer: what follows is not to be trusted
+        self._headers, self._reason = [], b""
+
+    def on_status(self, reason: bytes) -> None:
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._complete and len(self._headers) <= MOST_HEADERS:
+            self._headers.append((name.lower(), value.strip()))
+
+    def on_headers_complete(self) -> None:
+        if self._complete or self._attempt is None:
+            return
+        code = self._parser.get_status_code()
+        headers, self._headers = self._headers, []
+        if len(headers) > MOST_HEADERS:
+            self._spoil("too many headers")
+        elif code == 101:
+            self._spoil("an upgrade that nobody asked for")
+        elif code < 200:
+            self._size = 0
+            self._attempt.receiver.interim(code, headers)
+        else:
+            self._headed = True
+            self._final(self._attempt, code, headers)
+
+    def _final(self, attempt: StreamAttempt, code: int, headers: Headers) -> None:
+        coding = [value.lower() for name, value in headers if name == b"transfer-encoding"]
+        lengths = {value for name, value in headers if name == b"content-length"}
+        none = attempt.head_only or code in (204, 304)
+        length: int | None = None
+        if coding and (coding != [b"chunked"] or lengths):
+            self._spoil("a framing that two readers could take differently")
+            return
+        if lengths:
+            told = lengths.pop()
+            if lengths or not told.isdigit():
+                self._spoil("a length that is none")
+                return
+            length = int(told)
+        self._to_the_end = not none and not coding and length is None
+        attempt.receiver.head(code, self._reason, headers, length)
+        if none and self._attempt is attempt:
+            # The parser knows nothing of the method and may wait for a body that never comes.
+            self._skip = attempt.head_only
+            self._whole([])
+
+    def on_body(self, body: bytes) -> None:
+        if self._complete:
+            self._keep = False
+        elif self._attempt:
+            self._attempt.receiver.data(body)
+
+    def on_message_complete(self) -> None:
+        if self._headed and not self._complete and self._attempt and not self._to_the_end:
+            self._whole(self._headers)
+
+    def _whole(self, trailers: Headers) -> None:
+        assert self._attempt
+        self._complete = True
+        self._keep = self._parser.should_keep_alive() and not self._to_the_end
+        self._attempt.receiver.end(trailers)
+
+    def eof_received(self) -> bool:
+        if self._attempt and self._headed and self._to_the_end and not self._complete:
+            self._whole([])
+            self._finish()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._servers.closed(self._server, self)
+        del self._parser  # it holds this object, too: together they would wait for the collector
+        self._fail(Status.RESET)
+
+    # --- Ends ----------------------------------------------------------------------------------
+    def _finish(self) -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        # The rest of a body that nobody waited for would be read as the next request.
+        if self._keep and not self.sending and not self._paused:
+            self._servers.keep(self._server, self)
+        else:
+            self.drop()
+        attempt.end(Answer(Status.OK))
+
+    def fail(self) -> None:
+        """End the attempt as if the server had broken off."""
+        self._fail(Status.RESET)
+
+    def drop(self) -> None:
+        self._attempt = None
+        super().drop()
+
+    def _spoil(self, what: str) -> None:
+        log.warning("server %s: %s", self._server.dial, what)
+        self._fail(Status.ERROR)
+
+    def _fail(self, status: Status) -> None:
+        attempt, written = self._attempt, self.written
+        self.drop()
+        if attempt:
+            attempt.end(Answer(status if written else Status.CONNECT_FAILED))
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -23,8 +23,9 @@
 )
 
 from basaltpoint.interface import Status
-from basaltpoint.upstream import servers as servers_module
+from basaltpoint.upstream import whole
 from basaltpoint.upstream.servers import Answer, Servers
+from basaltpoint.upstream.whole import WholeAnswers
 
 DECLINED = "Srv-Declined: 1"
 
@@ -210,7 +211,7 @@
 
 def test_interim_answer_long_before(monkeypatch: pytest.MonkeyPatch) -> None:
     """It says nothing of when the final one begins, and does not count as one that stopped short."""
-    monkeypatch.setattr(servers_module, "SHORT_S", 0.02)
+    monkeypatch.setattr(whole, "SHORT_S", 0.02)
 
     async def test() -> None:
         async def script(request: Request) -> None:
@@ -294,7 +295,7 @@
     """What the socket could not take whole never ran, however it ends."""
 
     async def test() -> None:
-        listener, servers = Listener(), Servers(10, 1.0, 30.0)
+        listener, servers = Listener(), Servers(10, 1.0, whole.REUSE_S, WholeAnswers)
         servers.place(1, listener.address, True)
         large = b"POST /fix HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000
         task = asyncio.create_task(outcome(servers, 1, large, 0.3 if timed_out else 20.0))
@@ -311,7 +312,11 @@
     """The server has closed but the loop has not heard: the request goes over a new connection."""
 
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            Servers(10, 1.0, whole.REUSE_S, WholeAnswers),
+        )
         servers.place(1, listener.address, True)
         first = asyncio.create_task(outcome(servers, 1, REQUEST))
         peer = await listener.accept()
@@ -370,7 +375,11 @@
     """The server sees the first attempt's connection end before a second copy can reach it."""
 
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            Servers(10, 1.0, whole.REUSE_S, WholeAnswers),
+        )
         servers.place(1, listener.address, True)
         ended: asyncio.Future[Answer] = loop.create_future()
         attempt = servers.send(1, REQUEST, loop.time() + 20, ended.set_result)
@@ -386,7 +395,7 @@
 def test_latest_used_first_and_idle_dropped() -> None:
     async def test() -> None:
         async with backend() as server:
-            servers = Servers(10, 1.0, 0.2)
+            servers = Servers(10, 1.0, whole.REUSE_S, WholeAnswers)
             dial, port = server.address.split(":")
             servers.place(1, (dial, int(port)), True)
             tasks = [asyncio.create_task(outcome(servers, 1, REQUEST)) for _ in range(2)]
@@ -412,7 +421,7 @@
             request.reply()
 
         async with backend(script) as one, backend() as two:
-            servers = Servers(1, 1.0, 30.0)
+            servers = Servers(1, 1.0, whole.REUSE_S, WholeAnswers)
             for number, server in enumerate((one, two)):
                 name, port = server.address.split(":")
                 servers.place(number, (name, int(port)), True)
@@ -439,7 +448,7 @@
             request.reply("200 OK", b"", *next(headers))
 
         async with backend(script) as server:
-            servers = Servers(10, 1.0, 30.0)
+            servers = Servers(10, 1.0, whole.REUSE_S, WholeAnswers)
             name, port = server.address.split(":")
             servers.place(1, (name, int(port)), True)
             reply = await outcome(servers, 1, REQUEST)
@@ -518,7 +527,7 @@
         async with backend(script) as server, limiter(host("a", server.address)) as rig:
             client = await rig.connect()
             assert (await client.ask(message("fix", "one"))).body == b"own"
-            await asyncio.sleep(servers_module.REUSE_S * 2)
+            await asyncio.sleep(whole.REUSE_S * 2)
             assert (await client.ask(message("fix", "two"))).body == b"own"
             assert [request.connection for request in server.requests] == [1, 2]
             await server.requests[0].closed()
