--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -19,7 +19,7 @@
 from basaltpoint.interface import Effect as Repeats
 from basaltpoint.interface import ServerState, Status, Why
 from basaltpoint.policy import Gateway
-from basaltpoint.routing.accounts import Stranger, client_address
+from basaltpoint.routing.accounts import Stranger, client_address, trusts
 from basaltpoint.upstream.servers import TIMER_S, Answer, Servers
 from basaltpoint.upstream.streams import StreamAnswers, StreamAttempt
 
@@ -121,7 +121,7 @@
             raise BadRequestError(413, "the body is too long")
         passage = Passage(self, connection, request, route, account)
         self._handle(passage)
-        passage.outgoing = self._outgoing(passage, address != connection.peer)
+        passage.outgoing = self._outgoing(passage)
         return passage
 
     def _handle(self, passage: Passage) -> None:
@@ -134,7 +134,7 @@
         if handling.deadline_header and (text := fields.get(handling.deadline_header)):
             passage.wait_ms = min(passage.wait_ms, message.told_deadline_ms(text))
 
-    def _outgoing(self, passage: Passage, trusted: bool) -> Outgoing:
+    def _outgoing(self, passage: Passage) -> Outgoing:
         route, request, identity = passage.route, passage.request, self.setup.accounts.identity
         path = route.rewrite.apply(request.path) if route.rewrite else None
         drops = route.drop_headers
@@ -143,7 +143,7 @@
             if identity.bearer and identity.header not in request.fields:
                 drops |= {b"authorization"}
         peer = passage.connection.peer
-        trusted = trusted or client_address(peer, "0.0.0.0", self.setup.trusted) != peer
+        trusted = trusts(peer, self.setup.trusted)
         return message.outgoing(
             request, Origin(peer, self.name, trusted), Changes(path, route.set_headers, drops)
         )
--- a/basaltpoint/routing/accounts.py
+++ b/basaltpoint/routing/accounts.py
@@ -115,6 +115,8 @@
     Without trusted proxies it is the connection's peer; what a client writes itself never counts.
     """
     address = peer
+    if not trusted:
+        return peer
     for entry in reversed([part.strip() for part in forwarded.split(",")] if forwarded else []):
         if not _within(address, trusted):
             break
@@ -126,6 +128,11 @@
     return address
 
 
+def trusts(address: str, networks: Networks) -> bool:
+    """Whether an address is that of a trusted proxy."""
+    return bool(networks) and _within(address, networks)
+
+
 def _within(address: str, networks: Networks) -> bool:
     try:
         parsed = ipaddress.ip_address(address)
