--- a/basaltpoint/policy/pool.py
+++ b/basaltpoint/policy/pool.py
@@ -67,8 +67,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether nothing is here, or out, any more."""
-        return not self.fleet.peers and not sum(self.count)
+        """Whether nothing is here, or out, any more: a peer stays while it has work."""
+        return not self.fleet.peers
 
     def tick(self, now: float) -> list[api.Action]:
         """Keep the mean count out, and the caps as old as RERUN_MS at most."""
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -242,6 +242,23 @@
     assert b"Content-Length" not in message.outgoing(head([]), ORIGIN, Changes()).with_body(b"")
 
 
+@pytest.mark.parametrize(
+    "raw",
+    [
+        [(b"content-length", b"3"), (b"transfer-encoding", b"chunked")],
+        [(b"content-length", b"3"), (b"content-length", b"3")],
+        [(b"content-length", b"+3")],
+        [(b"content-length", b"")],
+        [(b"transfer-encoding", b"chunked"), (b"transfer-encoding", b"chunked")],
+        [(b"transfer-encoding", b"identity")],
+    ],
+)
+def test_a_framing_that_two_readers_could_take_differently(raw: Headers) -> None:
+    """Whatever the parser before it makes of these: this is the last word on what goes on."""
+    with pytest.raises(BadRequestError):
+        message.framing(raw, "1.1")
+
+
 TOKENS = st.from_regex(rb"[a-z][a-z-]{0,10}", fullmatch=True)
 VALUES = st.from_regex(rb"[!-~]([ -~]{0,15}[!-~])?", fullmatch=True)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -644,6 +644,9 @@
                 await until(lambda: len(going.requests) + len(staying.requests) == 6)
                 had = len(going.requests)
                 assert rig.reload(config(going.address, staying.address, drain=(0,)))
+                # Not only turned away at its door: the module does not choose it any more.
+                fleet = rig.limiter.relay.gateway.pools[1].fleet
+                assert [peer.entry.id for peer in fleet.ready] == [2]
                 for _ in range(30):
                     client = await rig.connect()
                     assert (await client.ask(request())).code == 200
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -93,6 +93,15 @@
     assert sends(rig.arrive(520.0, 1))
 
 
+def test_a_sole_limiter_keeps_the_same_part_for_dearer_classes_however_much_is_asked() -> None:
+    cheap, dear = replace(BASE.classes[0], name="a"), replace(BASE.classes[0], name="b", worth=5.0)
+    plan = api.Plan(rate=0.001, burst=10.0)
+    rig = Rig(classes=(cheap, dear), pools={1: (0, 1)}, plans=(plan,))
+    passed = [bool(sends(rig.arrive(10.0, 1, 0))) for _ in range(30)]
+    assert passed == [True] * 9 + [False] * 21
+    assert sends(rig.arrive(10.0, 1, 1))
+
+
 def test_a_pool_that_goes_while_requests_are_out() -> None:
     rig = Rig()
     (out,) = sends(rig.arrive(10.0, 2))
