--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -533,3 +533,28 @@
             await server.requests[0].closed()
 
     run(test())
+
+
+@pytest.mark.parametrize("how", ["drains", "is gone", "has moved"])
+def test_a_server_that_changes_while_a_connection_to_it_comes_up(how: str) -> None:
+    """The request was due before; now nothing new may go there, and nothing does."""
+
+    async def test() -> None:
+        loop, listener = asyncio.get_running_loop(), Listener()
+        servers = Servers(10, 1.0, whole.REUSE_S, WholeAnswers)
+        servers.place(1, listener.address, True)
+        ended: asyncio.Future[Answer] = loop.create_future()
+        servers.send(1, REQUEST, loop.time() + 20, ended.set_result)
+        if how == "drains":
+            servers.place(1, listener.address, False)
+        elif how == "is gone":
+            servers.remove(1)
+        else:
+            servers.place(1, ("127.0.0.1", 9), True)
+        peer = await listener.accept()
+        assert (await ended).status is Status.CONNECT_FAILED
+        with contextlib.suppress(ConnectionError):
+            assert await loop.sock_recv(peer, 100) == b""
+        servers.close()
+
+    run(test())
