--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -550,6 +550,7 @@
         elif how == "is gone":
             servers.remove(1)
         else:
+            await asyncio.sleep(0)  # it is on its way to the old address
             servers.place(1, ("127.0.0.1", 9), True)
         peer = await listener.accept()
         assert (await ended).status is Status.CONNECT_FAILED
