--- a/basaltpoint/cli.py
+++ b/basaltpoint/cli.py
@@ -48,7 +48,19 @@
     return 0
 
 
-def parser() -> argparse.ArgumentParser:
+def _load(args: argparse.Namespace) -> int:
+    from basaltpoint.load.command import run
+
+    return run(args)
+
+
+def _standin(args: argparse.Namespace) -> int:
+    from basaltpoint.standins.command import run
+
+    return run(args)
+
+
+def parser(argv: list[str]) -> argparse.ArgumentParser:
     """All commands and their arguments."""
     top = argparse.ArgumentParser(
         prog="basaltpoint", description="A request limiter in front of a shared API."
@@ -66,11 +78,25 @@
     key.set_defaults(run=_hash_key)
     ref = commands.add_parser("reference", help="print the reference of the configuration file")
     ref.set_defaults(run=_reference)
+    load = commands.add_parser("load", help="open-loop load: run, check, import, compare, audit")
+    load.set_defaults(run=_load)
+    standin = commands.add_parser("standin", help="a stand-in server of stated behaviour")
+    standin.set_defaults(run=_standin)
+    # Their arguments are theirs to add, and their libraries are loaded only where they run.
+    if argv[:1] == ["load"]:
+        from basaltpoint.load.command import add_arguments as add_load
+
+        add_load(load)
+    elif argv[:1] == ["standin"]:
+        from basaltpoint.standins.command import add_arguments as add_standin
+
+        add_standin(standin)
     return top
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run a command; the exit code."""
-    args = parser().parse_args(argv)
+    argv = sys.argv[1:] if argv is None else argv
+    args = parser(argv).parse_args(argv)
     code: int = args.run(args)
     return code
--- /dev/null
+++ b/basaltpoint/load/command.py
@@ -0,0 +1,180 @@
+"""`basaltpoint load`: run, check, import, compare, audit; here are arguments and output alone."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import secrets
+import sys
+from pathlib import Path
+from typing import Any
+
+from basaltpoint.config.decode import FileError
+from basaltpoint.load import compare, coordinator, ledger, report, scenario, traces
+
+UNSOUND = 3  # exit code under --strict, where some of the numbers don't count
+FOUND = 4  # exit code of an audit that found something
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """The sub-commands."""
+    commands = parser.add_subparsers(dest="load_command", required=True)
+    run = commands.add_parser("run", help="play a scenario and report")
+    run.add_argument("scenario", type=Path)
+    run.add_argument("--repeat", type=int, default=1, help="runs, one after the other; compare needs three")
+    run.add_argument("--trace", type=Path, help="replay this trace (from `load import`), not drawn arrivals")
+    run.add_argument("--factor", type=float, default=1.0, help="times the trace's speed")
+    run.add_argument("--json", type=Path, help="write the report's figures here")
+    run.add_argument("--html", type=Path, help="write the report as a page here")
+    run.add_argument("--ledger", type=Path, help="write each try's answers here")
+    run.add_argument("--strict", action="store_true", help=f"end with {UNSOUND} where numbers don't count")
+    run.set_defaults(load_run=_run)
+    check = commands.add_parser("check", help="check a scenario")
+    check.add_argument("scenario", type=Path)
+    check.set_defaults(load_run=_check)
+    taken = commands.add_parser("import", help="make a trace of an access log")
+    taken.add_argument("log", type=Path)
+    taken.add_argument("-o", "--output", type=Path, required=True)
+    taken.add_argument("--format", choices=sorted(traces.FORMATS), default="common")
+    taken.add_argument("--account", choices=["user", "ip"], help="what tells an account; default by format")
+    taken.add_argument("--salt", help="for accounts' names; the same salt gives the same; default: a new one")
+    taken.set_defaults(load_run=_import)
+    compared = commands.add_parser("compare", help="differences of two reports")
+    compared.add_argument("before", type=Path)
+    compared.add_argument("after", type=Path)
+    compared.set_defaults(load_run=_compare)
+    audited = commands.add_parser("audit", help="hold a run's ledger against servers' logs")
+    audited.add_argument("ledger", type=Path)
+    audited.add_argument("logs", type=Path, nargs="+")
+    audited.add_argument("--drained", action="append", default=[], metavar="SERVER=SECONDS")
+    audited.set_defaults(load_run=_audit)
+    worker = commands.add_parser("worker", help="one process of a run; started by `load run`")
+    worker.set_defaults(load_run=_worker)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run the sub-command; the exit code."""
+    try:
+        code: int = args.load_run(args)
+    except FileError as error:
+        print(error, file=sys.stderr)
+        return 2
+    except (OSError, ValueError, coordinator.WorkerError) as error:
+        print(error, file=sys.stderr)
+        return 2
+    return code
+
+
+def _worker(args: argparse.Namespace) -> int:
+    from basaltpoint.load.worker import main
+
+    return main()
+
+
+def _check(args: argparse.Namespace) -> int:
+    made = scenario.load(args.scenario)
+    asked = sum(plan.rate for plan in made.plan)
+    print(f"{args.scenario}: good; {asked:g} requests a second for {made.duration_s:g} s, before shapes")
+    return 0
+
+
+def _run(args: argparse.Namespace) -> int:
+    if args.repeat < 1 or args.factor <= 0:
+        print("--repeat is 1 at least, --factor above 0", file=sys.stderr)
+        return 2
+    setup = scenario.load(args.scenario)
+    runs = []
+    for number in range(args.repeat):
+        with _Progress(f"run {number + 1} of {args.repeat}") as progress:
+            stats = asyncio.run(
+                coordinator.run(args.scenario, setup, progress.show, args.trace, args.factor, args.ledger)
+            )
+        runs.append(report.summary(stats, args.scenario.name))
+        print(report.text(runs[-1]))
+    if args.json:
+        args.json.write_text(json.dumps({"runs": runs}, indent=1))
+    if args.html:
+        args.html.write_text(report.page(runs[-1]))
+    unsound = any(made["spells"] or made["total"]["missed"] for made in runs)
+    return UNSOUND if args.strict and unsound else 0
+
+
+class _Progress:
+    """A live line, on a terminal only."""
+
+    def __init__(self, title: str) -> None:
+        self._title = title
+        self._status: Any = None
+
+    def __enter__(self) -> _Progress:
+        if sys.stderr.isatty():
+            from rich.console import Console
+
+            self._status = Console(stderr=True).status(self._title)
+            self._status.start()
+        return self
+
+    def show(self, told: dict[str, Any]) -> None:
+        if self._status:
+            counts = sorted(item for item in told.items() if item[0] != "at")
+            figures = "  ".join(f"{name} {value}" for name, value in counts)
+            self._status.update(f"{self._title}  {told.get('at', 0):.0f} s  {figures}")
+
+    def __exit__(self, *_: object) -> None:
+        if self._status:
+            self._status.stop()
+
+
+def _import(args: argparse.Namespace) -> int:
+    salt = (args.salt or secrets.token_hex(16)).encode()
+    with open(args.log, "rb") as source, open(args.output, "wb") as sink:
+        done = traces.convert(source, sink, args.format, salt, args.account)
+    order = f"{done.moved} put in order, {done.clamped} too far out of order"
+    print(f"{done.lines} lines, {done.kept} kept, {order}")
+    for why, count in done.bad.most_common():
+        print(f"{count} skipped: {why}")
+    for line in done.shown:
+        print(f"  {line}")
+    return 0 if done.kept else 2
+
+
+def _compare(args: argparse.Namespace) -> int:
+    before, after = (json.loads(path.read_text())["runs"] for path in (args.before, args.after))
+    print(compare.text(compare.compare(before, after)))
+    return 0
+
+
+def _audit(args: argparse.Namespace) -> int:
+    asked = read_asked(args.ledger)
+    attempts = [attempt for path in args.logs for attempt in read_attempts(path)]
+    drained = {}
+    for text in args.drained:
+        server, _, at = text.partition("=")
+        drained[server] = float(at)
+    findings = ledger.audit(asked, attempts, drained)
+    print(f"{len(asked)} tries, {len(attempts)} attempts, {len(findings)} findings")
+    for one in findings[:50]:
+        print(f"  {one.kind}: {one.ident}: {one.what}")
+    return FOUND if findings else 0
+
+
+def read_asked(path: Path) -> list[ledger.Asked]:
+    """A run's ledger; several lines of one try add up."""
+    found: dict[str, ledger.Asked] = {}
+    with open(path, "rb") as lines:
+        for line in lines:
+            raw = json.loads(line)
+            before = found.get(raw["ident"])
+            answers = raw["answers"] + (before.answers if before else 0)
+            hung_up = raw["hung_up"] or (before is not None and before.hung_up)
+            found[raw["ident"]] = ledger.Asked(raw["ident"], answers, hung_up)
+    return list(found.values())
+
+
+def read_attempts(path: Path) -> list[ledger.Attempt]:
+    """A stand-in server's log."""
+    with open(path, "rb") as lines:
+        rows = [json.loads(line) for line in lines]
+    names = ("ident", "server", "came_s", "ended_s", "ran", "once", "key", "repeat")
+    return [ledger.Attempt(**{name: row[name] for name in names}) for row in rows]
--- /dev/null
+++ b/basaltpoint/load/compare.py
@@ -0,0 +1,91 @@
+"""Differences of two reports, with confidence from repeated runs. Free of I/O.
+
+The interval is a bootstrap of the difference of means (Efron, 1979) with a fixed seed: runs are few and their
+figures are not normal. With fewer than three runs on a side no interval is given.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+from dataclasses import dataclass
+from typing import Any
+
+ROUNDS = 4000
+LEVEL = 0.95
+FEWEST = 3
+
+FIGURES: tuple[tuple[str, tuple[str, ...]], ...] = (
+    ("in time, part", ("total", "in_time")),
+    ("refused", ("total", "refused")),
+    ("failed", ("total", "failed")),
+    ("no answer", ("total", "none")),
+    ("answers a request", ("total", "answers_per_request")),
+    ("worst 10 s, part in time", ("worst", "in_time")),
+    ("p50 ms", ("latency_ms", "all", "p50")),
+    ("p99 ms", ("latency_ms", "all", "p99")),
+    ("p99.9 ms", ("latency_ms", "all", "p99.9")),
+    ("sent late, p99 ms", ("lateness_ms", "p99")),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One figure on both sides; `low` and `high` bound the true difference, None with too few runs."""
+
+    name: str
+    before: float
+    after: float
+    low: float | None
+    high: float | None
+
+    @property
+    def sure(self) -> bool:
+        """Whether chance among the runs does not explain it."""
+        return self.low is not None and self.high is not None and (self.low > 0 or self.high < 0)
+
+
+def figure(run: dict[str, Any], path: tuple[str, ...]) -> float | None:
+    value: Any = run
+    for key in path:
+        value = value.get(key) if isinstance(value, dict) else None
+    return float(value) if isinstance(value, int | float) else None
+
+
+def compare(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> list[Difference]:
+    """Each figure that both sides have."""
+    found = []
+    for name, path in FIGURES:
+        a = [value for run in before if (value := figure(run, path)) is not None]
+        b = [value for run in after if (value := figure(run, path)) is not None]
+        if a and b:
+            low, high = interval(a, b)
+            found.append(Difference(name, statistics.fmean(a), statistics.fmean(b), low, high))
+    return found
+
+
+def interval(a: list[float], b: list[float]) -> tuple[float | None, float | None]:
+    """Bounds of the difference of means, at LEVEL; a wider one for a few runs, by Student's factor."""
+    if min(len(a), len(b)) < FEWEST:
+        return None, None
+    rng = random.Random(1)
+    gaps = sorted(
+        statistics.fmean(rng.choices(b, k=len(b))) - statistics.fmean(rng.choices(a, k=len(a)))
+        for _ in range(ROUNDS)
+    )
+    cut = int(ROUNDS * (1 - LEVEL) / 2)
+    middle = statistics.fmean(b) - statistics.fmean(a)
+    # A bootstrap of few values is too narrow by the root of n / (n - 1).
+    n = min(len(a), len(b))
+    stretch = (n / (n - 1)) ** 0.5
+    return middle + (gaps[cut] - middle) * stretch, middle + (gaps[-1 - cut] - middle) * stretch
+
+
+def text(differences: list[Difference]) -> str:
+    lines = [f"{'':26} {'before':>12} {'after':>12} {'change':>12}  {LEVEL:.0%} of chance"]
+    for one in differences:
+        bounds = "too few runs" if one.low is None else f"{one.low:+.4g} to {one.high:+.4g}"
+        mark = "  SURE" if one.sure else ""
+        change = one.after - one.before
+        lines.append(f"{one.name:26} {one.before:12.4g} {one.after:12.4g} {change:+12.4g}  {bounds}{mark}")
+    return "\n".join(lines)
--- /dev/null
+++ b/basaltpoint/standins/command.py
@@ -0,0 +1,105 @@
+"""`basaltpoint standin`: one stand-in server as a process, its behaviour told by its arguments."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import uvloop
+
+from basaltpoint.config.address import ConfigError, parse_address
+from basaltpoint.standins.server import Behaviour, StandIn
+
+
+def service(text: str) -> Callable[[random.Random], float]:
+    """`fixed:MS`, `exp:MS` (its mean) or `uniform:MS,MS`."""
+    kind, _, rest = text.partition(":")
+    try:
+        values = [float(part) / 1000 for part in rest.split(",")]
+    except ValueError:
+        values = []
+    if kind == "fixed" and len(values) == 1 and values[0] >= 0:
+        return lambda rng: values[0]
+    if kind == "exp" and len(values) == 1 and values[0] > 0:
+        return lambda rng: rng.expovariate(1 / values[0])
+    if kind == "uniform" and len(values) == 2 and 0 <= values[0] <= values[1]:
+        return lambda rng: rng.uniform(*values)
+    raise argparse.ArgumentTypeError(f"{text!r}; allowed: fixed:MS, exp:MS, uniform:MS,MS")
+
+
+def stall(text: str) -> tuple[float, float]:
+    """`FROM:LENGTH` in seconds."""
+    try:
+        start, length = (float(part) for part in text.split(":"))
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"{text!r}; allowed: FROM:LENGTH in seconds") from None
+    return start, start + length
+
+
+def part(text: str) -> float:
+    """A number from 0 to 1."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= 1:
+        raise argparse.ArgumentTypeError(f"{text!r}; allowed: 0 to 1")
+    return value
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """What the command takes."""
+    parser.add_argument("--listen", default="127.0.0.1:0", help="IP:PORT; port 0 takes a free one")
+    parser.add_argument("--name", default="standin")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--workers", type=int, default=16, help="requests served at once")
+    parser.add_argument("--service", type=service, default="fixed:10", help="fixed:MS, exp:MS, uniform:MS,MS")
+    parser.add_argument("--errors", type=part, default=0.0, help="part that ends in 500")
+    parser.add_argument("--resets", type=part, default=0.0, help="part whose connection breaks")
+    parser.add_argument("--stall", type=stall, action="append", default=[], help="FROM:LENGTH, seconds")
+    parser.add_argument("--cold", type=float, default=0.0, help="seconds until it is warm")
+    parser.add_argument("--cold-from", type=part, default=0.2, help="part of its speed at its start")
+    parser.add_argument("--drain", type=float, help="declines what is new from this second on")
+    parser.add_argument("--once", default="/corrections", help="paths beginning so must not run twice")
+    parser.add_argument("--log", type=Path, help="a JSON line for each request that ended")
+
+
+def run(args: argparse.Namespace) -> int:
+    """Serve until SIGTERM; the first line printed is the address."""
+    try:
+        host, port = parse_address(args.listen)
+    except ConfigError as error:
+        print(error)
+        return 2
+    behaviour = Behaviour(
+        workers=args.workers,
+        service_s=args.service,
+        errors=args.errors,
+        resets=args.resets,
+        stalls=tuple(args.stall),
+        cold_s=args.cold,
+        cold_from=max(0.01, args.cold_from),
+        drain_s=args.drain,
+        once=args.once,
+    )
+
+    async def serve() -> None:
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        log = open(args.log, "wb", buffering=1 << 16) if args.log else None  # noqa: SIM115
+        server = StandIn(behaviour, args.seed, args.name, log, keep=0 if log else 1_000_000)
+        await server.start(host, port)
+        print(server.address, flush=True)
+        await stop.wait()
+        server.stop()
+        if log:
+            log.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve())
+    return 0
--- a/basaltpoint/standins/server.py
+++ b/basaltpoint/standins/server.py
@@ -1,17 +1,20 @@
-"""A stand-in HTTP server: stated workers and service times, a queue, and a log of attempts."""
+"""A stand-in HTTP server: stated service times, stalls, errors, cold starts, and a log of attempts."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from time import monotonic
-from typing import cast
+from typing import BinaryIO, cast
 
 import httptools
 
+IDENTS = ("x-load-id", "req-id")  # headers that bring the id of the try that an attempt belongs to
+
 
 @dataclass(slots=True)
 class Behaviour:
@@ -21,19 +24,32 @@
     service_s: Callable[[random.Random], float] = lambda rng: 0.01  # of each request's work
     body: bytes = b"ok\n"
     code: int = 200
+    errors: float = 0.0  # part of the requests that end in 500, their work done
+    resets: float = 0.0  # part whose connection breaks instead, their work done
     healthy: bool = True  # what /health says
     key_window_s: float = 5.0  # how long a repeat under a key is dropped
+    once: str = "/corrections"  # requests whose path begins so must never run twice
+    stalls: tuple[tuple[float, float], ...] = ()  # from, to: seconds from its start in which nothing ends
+    cold_s: float = 0.0  # after its start it is slower, evenly less so up to this
+    cold_from: float = 0.2  # part of its speed at its start
+    drain_s: float | None = None  # from then on it declines what is new (503, Srv-Declined)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Seen:
-    """One request that came whole."""
+    """One request that came whole. Times are seconds of the monotonic clock; `ended_s` None: it is out."""
 
-    at: float  # seconds of the monotonic clock
+    ident: str
+    server: str
+    came_s: float
     method: str
     path: str
-    key: str  # its Idempotency-Key
-    repeat: bool  # dropped: its key had come within the window
+    key: str = ""  # its Idempotency-Key
+    repeat: bool = False  # dropped: its key had come within the window
+    once: bool = False
+    ran: bool = False  # its work was begun
+    ended_s: float | None = None
+    code: int = 0  # 0: no answer went out
 
 
 @dataclass(slots=True)
@@ -44,19 +60,31 @@
 
 
 class StandIn:
-    """One server; `seen` logs every request but health checks."""
-
-    def __init__(self, behaviour: Behaviour | None = None, seed: int = 1, name: str = "standin") -> None:
+    """One server; `seen` logs every request but health checks, and `log` gets a line for each that ended."""
+
+    def __init__(
+        self,
+        behaviour: Behaviour | None = None,
+        seed: int = 1,
+        name: str = "standin",
+        log: BinaryIO | None = None,
+        keep: int = 1_000_000,
+        keys: dict[str, float] | None = None,
+    ) -> None:
+        """`keep`: most requests that `seen` holds; a log has them all. `keys`: shared by servers that drop
+        each other's repeats."""
         self.behaviour = behaviour or Behaviour()
         self.name = name
         self.rng = random.Random(seed)
-        self.seen: list[Seen] = []
+        self.seen: deque[Seen] = deque(maxlen=keep)
         self.busy = 0
         self.waiting: deque[_Job] = deque()
-        self.keys: dict[str, float] = {}
+        self.keys = {} if keys is None else keys  # when each came first
         self.address = ""
-        self._server: asyncio.Server | None = None
+        self.started_s = 0.0
         self.connections: set[_Connection] = set()
+        self._log = log
+        self._server: asyncio.Server | None = None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen; `address` tells where."""
@@ -64,6 +92,7 @@
         self._server = await loop.create_server(lambda: _Connection(self), host, port)
         bound = self._server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
+        self.started_s = monotonic()
 
     def stop(self) -> None:
         """End the listener and every connection."""
@@ -72,6 +101,22 @@
         for connection in list(self.connections):
             connection.abort()
 
+    # --- Time ---------------------------------------------------------------------------------
+    def age(self) -> float:
+        return monotonic() - self.started_s
+
+    def work_s(self, seen: Seen) -> float:
+        """How long a request's work takes from now on, stalls included."""
+        behaviour, age = self.behaviour, self.age()
+        wait = 0.0 if seen.repeat else behaviour.service_s(self.rng)
+        if age < behaviour.cold_s:
+            wait /= behaviour.cold_from + (1.0 - behaviour.cold_from) * age / behaviour.cold_s
+        for start, end in behaviour.stalls:
+            if age + wait >= start and age < end:
+                wait += end - max(age, start)
+        return wait
+
+    # --- Requests -----------------------------------------------------------------------------
     def came(
         self, connection: _Connection, method: str, path: str, headers: dict[str, str], keep: bool
     ) -> None:
@@ -80,11 +125,16 @@
             connection.answer(200 if self.behaviour.healthy else 503, b"", keep)
             return
         now, key = monotonic(), headers.get("idempotency-key", "")
-        repeat = bool(key) and now - self.keys.get(key, -1e9) < self.behaviour.key_window_s
-        if key and not repeat:
-            self.keys[key] = now
-        seen = Seen(now, method, path, key, repeat)
+        ident = next((headers[name] for name in IDENTS if name in headers), "")
+        seen = Seen(ident, self.name, now, method, path, key)
+        seen.once = path.startswith(self.behaviour.once)
         self.seen.append(seen)
+        if self.behaviour.drain_s is not None and self.age() >= self.behaviour.drain_s:
+            self._end(_Job(connection, seen, keep), 503, b"Srv-Declined: 1\r\n")
+            return
+        seen.repeat = bool(key) and now - self.keys.get(key, -1e9) < self.behaviour.key_window_s
+        if key and not seen.repeat:
+            self.keys[key] = now
         self.waiting.append(_Job(connection, seen, keep))
         self._work()
 
@@ -92,16 +142,37 @@
         while self.waiting and self.busy < self.behaviour.workers:
             job = self.waiting.popleft()
             if job.connection.closed:
+                self._gone(job)
                 continue
             self.busy += 1
-            wait = 0.0 if job.seen.repeat else self.behaviour.service_s(self.rng)
-            asyncio.get_running_loop().call_later(wait, self._done, job)
+            job.seen.ran = True
+            asyncio.get_running_loop().call_later(self.work_s(job.seen), self._done, job)
 
     def _done(self, job: _Job) -> None:
         self.busy -= 1
-        job.connection.answer(self.behaviour.code, self.behaviour.body, job.keep, job.seen.method == "HEAD")
+        if job.connection.closed:
+            self._gone(job)
+        elif self.rng.random() < self.behaviour.resets:
+            self._gone(job)
+            job.connection.abort()
+        else:
+            self._end(job, 500 if self.rng.random() < self.behaviour.errors else self.behaviour.code)
         self._work()
 
+    def _end(self, job: _Job, code: int, headers: bytes = b"") -> None:
+        job.seen.ended_s, job.seen.code = monotonic(), code
+        self._write(job.seen)
+        job.connection.answer(code, self.behaviour.body, job.keep, job.seen.method == "HEAD", headers)
+
+    def _gone(self, job: _Job) -> None:
+        """Nobody is there to answer; the attempt was over when its connection ended."""
+        job.seen.ended_s = job.connection.closed_s or monotonic()
+        self._write(job.seen)
+
+    def _write(self, seen: Seen) -> None:
+        if self._log:
+            self._log.write(json.dumps(asdict(seen)).encode() + b"\n")
+
 
 class _Connection(asyncio.Protocol):
     def __init__(self, server: StandIn) -> None:
@@ -111,13 +182,14 @@
         self._url = b""
         self._headers: dict[str, str] = {}
         self.closed = False
+        self.closed_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closed = True
+        self.closed, self.closed_s = True, monotonic()
         self._server.connections.discard(self)
         del self._parser
 
@@ -144,11 +216,17 @@
         method, keep = self._parser.get_method().decode(), self._parser.should_keep_alive()
         self._server.came(self, method, self._url.decode("latin-1"), self._headers, keep)
 
-    def answer(self, code: int, body: bytes, keep: bool, head_only: bool = False) -> None:
+    def answer(
+        self, code: int, body: bytes, keep: bool, head_only: bool = False, headers: bytes = b""
+    ) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        end = "" if keep else "Connection: close\r\n"
-        head = f"HTTP/1.1 {code} X\r\nContent-Length: {len(body)}\r\nServer: {self._server.name}\r\n{end}\r\n"
-        self._transport.write(head.encode() + (b"" if head_only else body))
+        end = b"" if keep else b"Connection: close\r\n"
+        head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\nServer: %s\r\n" % (
+            code,
+            len(body),
+            self._server.name.encode(),
+        )
+        self._transport.write(head + headers + end + b"\r\n" + (b"" if head_only else body))
         if not keep:
             self._transport.close()
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -201,7 +201,7 @@
     """What happened, and whether it is what should have."""
     print("\nAt the end:\n")
     print("\n".join(table(servers, True)))
-    late = [seen.at - drain_at for seen in servers[0].seen if seen.at > drain_at + 0.25]
+    late = [seen.came_s - drain_at for seen in servers[0].seen if seen.came_s > drain_at + 0.25]
     strays = sum("corrections" in seen.path for server in servers[:2] for seen in server.seen)
     unanswered = sum(account.outcomes["none"] for account in ACCOUNTS)
     twice = sum(
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,417 @@
+"""The load generator in simulated time: arrivals, waiting counted in full, retries, health, figures."""
+
+from __future__ import annotations
+
+import heapq
+import json
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator
+from itertools import pairwise
+from pathlib import Path
+
+import pytest
+
+from basaltpoint.config.decode import FileError
+from basaltpoint.load import arrivals, compare, report, scenario
+from basaltpoint.load.arrivals import Planned
+from basaltpoint.load.driver import Driver, End, GiveUp, Record, Try
+from basaltpoint.load.health import Spell, Watch, merged
+from basaltpoint.load.scenario import (
+    Backoff,
+    ClassTable,
+    Kind,
+    PlanTable,
+    Process,
+    Retries,
+    Scenario,
+    ShapeTable,
+)
+from basaltpoint.load.stats import Stats, quantiles_ms
+
+READ = ClassTable(name="read", aim_ms=100.0, timeout_ms=60_000.0)
+FIX = ClassTable(name="fix", method="POST", path="/corrections/{n}", once=True, timeout_ms=1000.0)
+
+
+def told(**changes: object) -> Scenario:
+    values: dict[str, object] = {
+        "target": ("127.0.0.1:1",),
+        "plan": (PlanTable(name="team", accounts=50, rate=100.0),),
+        "class_": (READ,),
+        "duration_s": 10.0,
+    }
+    return Scenario(**{**values, **changes})  # type: ignore[arg-type]
+
+
+# --- Arrivals ----------------------------------------------------------------------------------------
+def test_the_same_seed_asks_the_same_and_processes_share_it() -> None:
+    one = told(class_=(READ, FIX), arrivals=Process.POISSON)
+    whole = list(arrivals.planned(one))
+    assert whole == list(arrivals.planned(one))
+    assert whole != list(arrivals.planned(told(class_=(READ, FIX), seed=2)))
+    parts = [list(arrivals.share_of(arrivals.planned(one), part, 3)) for part in range(3)]
+    assert sorted((p for part in parts for p in part), key=lambda p: p.number) == whole
+    assert [p.at_s for p in whole] == sorted(p.at_s for p in whole)
+    assert abs(len(whole) - 1000) < 4 * math.sqrt(1000)
+
+
+def test_constant_arrivals_follow_the_integral_of_the_rate() -> None:
+    ramp = ShapeTable(kind=Kind.RAMP, factor=3.0)
+    one = told(arrivals=Process.CONSTANT, shape=(ramp,))
+    times = [p.at_s for p in arrivals.planned(one)]
+    assert len(times) in (1999, 2000)  # 100 to 300 a second over 10 s
+    for number in (1, 500, 1999):
+        t = times[number - 1]
+        assert abs(100 * t + 10 * t * t - number) < 0.5
+    plain = [p.at_s for p in arrivals.planned(told(arrivals=Process.CONSTANT))]
+    assert all(abs(t - (n + 1) / 100) < 2e-3 for n, t in enumerate(plain))
+
+
+@pytest.mark.parametrize("process", list(Process))
+def test_shapes(process: Process) -> None:
+    plans = (PlanTable(name="a", accounts=10, rate=200.0), PlanTable(name="b", accounts=10, rate=200.0))
+    shapes = (
+        ShapeTable(kind=Kind.SURGE, plan="a", from_s=4.0, to_s=6.0, factor=5.0),
+        ShapeTable(kind=Kind.RUNAWAY, plan="b", account=3, from_s=5.0, to_s=7.0, rate=400.0),
+        ShapeTable(kind=Kind.STEP, from_s=9.0, factor=0.0),
+    )
+    asked = list(arrivals.planned(told(plan=plans, shape=shapes, arrivals=process)))
+    count = Counter((p.plan, int(p.at_s)) for p in asked)
+    assert count["a", 1] > 140 and count["a", 5] > 5 * 140 and count["a", 9] == 0
+    assert count["b", 5] > 140 + 300 and count["b", 8] < 270
+    runaway = sum(p.account == "b-3" for p in asked if 5 <= p.at_s < 7)
+    assert abs(runaway - 800 - 40) < 160
+
+
+def test_skew_and_sine() -> None:
+    plan = PlanTable(name="a", accounts=100, rate=1000.0, skew=1.0)
+    wave = ShapeTable(kind=Kind.SINE, factor=3.0, period_s=10.0)
+    asked = list(arrivals.planned(told(plan=(plan,), shape=(wave,))))
+    by = Counter(p.account for p in asked)
+    assert 1.4 < by["a-0"] / by["a-1"] < 2.8 and by["a-0"] > 20 * by.get("a-99", 1) / 2
+    seconds = Counter(int(p.at_s) for p in asked)
+    assert seconds[4] > 2 * seconds[0] and seconds[5] > 2 * seconds[9]
+
+
+# --- A server in simulated time ------------------------------------------------------------------------
+class Server:
+    """Infinite workers, stated service times, spells in which nothing ends, codes by the test."""
+
+    def __init__(
+        self,
+        service: Callable[[], float],
+        stalls: tuple[tuple[float, float], ...] = (),
+        code: Callable[[Try], tuple[int, float | None]] = lambda one: (200, None),
+    ) -> None:
+        self.service, self.stalls, self.code = service, stalls, code
+
+    def ends(self, at: float) -> float:
+        end = at + self.service()
+        for start, stop in self.stalls:
+            if end >= start and at < stop:
+                end = max(end, stop)
+        return end
+
+
+def simulate(
+    driver: Driver,
+    server: Server,
+    asleep: tuple[tuple[float, float], ...] = (),
+    broken: set[int] | None = None,
+) -> None:
+    """Play to the end. `asleep`: spells in which the generator itself does not run."""
+    answers: list[tuple[float, int, int, float | None]] = []
+    now = 0.0
+
+    def awake(at: float) -> float:
+        for start, stop in asleep:
+            if start <= at < stop:
+                return stop
+        return at
+
+    beat = 0.0
+    while not driver.done:
+        due = [
+            beat,
+            *([answers[0][0]] if answers else []),
+            *([driver.next_s] if driver.next_s is not None else []),
+        ]
+        now = awake(min(due))
+        driver._watch.beat(now)
+        beat = max(beat, now + 0.005) if now >= beat else beat
+        for action in driver.tick(now):
+            if isinstance(action, GiveUp):
+                answers = [row for row in answers if row[1] != action.ident]
+                heapq.heapify(answers)
+                continue
+            driver.sent(now, action.ident)
+            if broken and action.planned.number in broken:
+                heapq.heappush(answers, (now + 0.001, action.ident, 0, None))
+            else:
+                code, after = server.code(action)
+                if code:
+                    heapq.heappush(answers, (server.ends(now), action.ident, code, after))
+        while answers and answers[0][0] <= now:
+            _, ident, code, after = heapq.heappop(answers)
+            if code:
+                driver.answered(now, ident, code, after)
+            else:
+                driver.broken(now, ident)
+
+
+class Kept(Stats):
+    """Figures, and every record."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records: list[Record] = []
+        self.tries: Counter[tuple[int, int]] = Counter()
+        self.answers: Counter[tuple[int, int]] = Counter()
+
+    def record(self, record: Record) -> None:
+        super().record(record)
+        self.records.append(record)
+
+    def tried(self, request: int, number: int, answers: int, hung_up: bool) -> None:
+        self.tries[request, number] += 1
+        self.answers[request, number] += answers
+
+
+def drive(
+    one: Scenario, server: Server, requests: Iterator[Planned] | None = None, **rest: object
+) -> tuple[Kept, Driver]:
+    kept = Kept()
+    watch = Watch(one.health.late_ms / 1000, one.health.stall_ms / 1000, one.health.steal)
+    classes = {cls.name: cls for cls in one.class_}
+    driver = Driver(
+        requests or arrivals.planned(one), classes, one.retries, watch, kept, one.seed, one.in_flight
+    )
+    simulate(driver, server, **rest)  # type: ignore[arg-type]
+    kept.spells = watch.spells
+    return kept, driver
+
+
+def test_a_stall_of_two_seconds_delays_two_thousand_requests() -> None:
+    """Not one: each that was due meanwhile waited, for what was left of the stall."""
+    plan = PlanTable(name="team", accounts=10, rate=1000.0)
+    one = told(plan=(plan,), arrivals=Process.CONSTANT)
+    kept, _ = drive(one, Server(lambda: 0.001, stalls=((4.0, 6.0),)))
+    assert len(kept.records) in (9999, 10_000)
+    delayed = [r for r in kept.records if r.latency_s > 0.0015]
+    assert abs(len(delayed) - 2000) <= 2
+    for record in delayed:
+        assert abs(record.planned.at_s + record.latency_s - 6.0) < 1e-6
+    # Evenly from 0 to 2 s, so their median is 1 s; half of the stall's seconds' requests are beyond it.
+    waits = sorted(r.latency_s for r in delayed)
+    assert abs(waits[1000] - 1.0) < 0.003 and waits[-1] <= 2.001
+    assert kept.latency[""].get_value_at_percentile(90) / 1e6 == pytest.approx(1.0, abs=0.01)
+    ends = Counter(r.end for r in kept.records)
+    assert abs(ends[End.LATE] - 1900) <= 2  # all but those due within the aim of its end
+    worst = report.summary(kept, "x")["worst"]
+    assert worst["asked"] >= 9000
+    second = report.summary(kept, "x")["seconds"][4]
+    assert abs(second["late"] - 1000) <= 2
+    assert not kept.spells
+
+
+def test_percentiles_match_a_known_distribution() -> None:
+    """Exponential service times, laid out so that the sample's quantiles are the distribution's."""
+    count, mean = 50_000, 0.020
+    times = [-mean * math.log(1 - (n + 0.5) / count) for n in range(count)]
+    random.Random(5).shuffle(times)
+    left = iter(times)
+    plan = PlanTable(name="team", accounts=10, rate=5000.0)
+    one = told(plan=(plan,), arrivals=Process.CONSTANT)
+    kept, _ = drive(one, Server(lambda: next(left, mean)))
+    found = quantiles_ms(kept.latency[""])
+    for name, part in (("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)):
+        assert abs(found[name] + mean * 1000 * math.log(1 - part)) < 3.0, name
+
+
+def test_the_generators_own_sleep_is_flagged_and_counted_in_full() -> None:
+    plan = PlanTable(name="team", accounts=10, rate=1000.0)
+    one = told(plan=(plan,), arrivals=Process.CONSTANT)
+    kept, driver = drive(one, Server(lambda: 0.001), asleep=((3.0, 3.3),))
+    (spell,) = kept.spells
+    assert abs(spell.from_s - 3.0) < 0.006 and spell.to_s == 3.3
+    assert driver.asked == len(kept.records) >= 9999  # nothing was thinned
+    late = [r for r in kept.records if r.latency_s > 0.1]
+    assert 195 <= len(late) <= 205 and all(not r.sound for r in late)
+    unsound = [r for r in kept.records if not r.sound]
+    assert all(2.99 < r.planned.at_s + r.latency_s < 3.32 for r in unsound)
+    assert quantiles_ms(kept.sound)["max"] < 20.0 < quantiles_ms(kept.latency[""])["max"]
+    # The time from the true start is short: it alone would have hidden the sleep.
+    assert quantiles_ms(kept.service)["p99.9"] < 5.0
+    assert quantiles_ms(kept.lateness)["max"] > 290.0
+
+
+def test_retries_wait_as_stated() -> None:
+    tries: dict[int, list[float]] = {}
+
+    def code(one: Try) -> tuple[int, float | None]:
+        tries.setdefault(one.planned.number, []).append(one.intended_s)
+        return 429, 2.0
+
+    def gaps(retries: Retries) -> list[list[float]]:
+        tries.clear()
+        kept, _ = drive(told(retries=retries, duration_s=1.0), Server(lambda: 0.0, code=code))
+        assert all(r.end is End.REFUSED and r.tries == retries.most + 1 for r in kept.records)
+        assert set(kept.tries.values()) == {1}
+        return [[b - a for a, b in pairwise(row)] for row in tries.values()]
+
+    for row in gaps(Retries(most=3, backoff=Backoff.EXPONENTIAL, wait_ms=100.0, honour=0.0)):
+        assert all(0.05 * 2**n <= gap <= 0.1 * 2**n + 1e-9 for n, gap in enumerate(row))
+    for row in gaps(Retries(most=2, wait_ms=100.0, honour=1.0)):
+        assert all(gap > 2.0 - 1e-6 for gap in row)
+    honest = sum(row[0] > 2.0 - 1e-6 for row in gaps(Retries(most=1, wait_ms=100.0, honour=0.5)))
+    assert 25 < honest < 75
+    for row in gaps(Retries(most=2, backoff=Backoff.NONE, honour=0.0)):
+        assert row == [0.0, 0.0]
+
+
+def test_the_wait_for_a_retry_counts_from_the_first_intended_start() -> None:
+    def code(one: Try) -> tuple[int, float | None]:
+        return (200, None) if one.number else (503, 1.0)
+
+    kept, _ = drive(told(retries=Retries(most=1)), Server(lambda: 0.01, code=code))
+    assert all(r.end is End.LATE and r.latency_s > 1.0 and r.service_s < 0.02 for r in kept.records)
+    assert all(r.answers == 2 for r in kept.records)
+
+
+def test_no_client_repeats_what_must_run_once_and_may_have() -> None:
+    def code(one: Try) -> tuple[int, float | None]:
+        return (429, None) if one.planned.number % 2 else (0, None)
+
+    kept, _ = drive(told(class_=(FIX,), retries=Retries(most=3)), Server(lambda: 0.0, code=code))
+    by = {r.planned.number: r for r in kept.records}
+    assert all(r.tries == (4 if n % 2 else 1) for n, r in by.items())
+    assert all(r.end is (End.REFUSED if n % 2 else End.NONE) for n, r in by.items())
+    assert kept.odd_total == sum(r.end is End.NONE for r in kept.records) > 0
+    kept, _ = drive(told(class_=(FIX,), retries=Retries(most=3)), Server(lambda: 0.0), broken={3, 5})
+    assert {r.planned.number: (r.tries, r.end) for r in kept.records if r.planned.number in (3, 5)} == {
+        3: (1, End.FAILED),
+        5: (1, End.FAILED),
+    }
+
+
+def test_what_can_not_be_sent_is_missed_and_counted() -> None:
+    one = told(in_flight=10)
+    kept, driver = drive(one, Server(lambda: 1.0))
+    ends = Counter(r.end for r in kept.records)
+    assert ends[End.MISSED] > 500 and sum(ends.values()) == driver.asked
+    row = report.summary(kept, "x")["total"]
+    assert row["asked"] == driver.asked and row["missed"] == ends[End.MISSED]
+
+
+# --- Health ------------------------------------------------------------------------------------------
+def test_spells() -> None:
+    watch = Watch(0.02, 0.05, 0.1)
+    for beat in (0.0, 0.01, 0.02, 0.32, 0.33):
+        watch.beat(beat)
+    watch.sent(0.10, 0.33)  # was due in the spell: the same one
+    assert [(s.from_s, s.to_s) for s in watch.spells] == [(0.02, 0.33)]
+    assert watch.sound(0.34, 0.5) and not watch.sound(0.0, 0.03) and not watch.sound(0.1, 0.2)
+    watch.stolen(1.0, 2.0, 0.05)
+    watch.stolen(2.0, 3.0, 0.5)
+    assert [s.from_s for s in watch.spells] == [0.02, 2.0]
+    joined = merged([watch.spells, [Spell(0.3, 0.4, "x"), Spell(5.0, 6.0, "y")]])
+    assert [(s.from_s, s.to_s) for s in joined] == [(0.02, 0.4), (2.0, 3.0), (5.0, 6.0)]
+
+
+def test_the_generator_reads_no_clock_that_can_be_set() -> None:
+    for path in (Path(__file__).parent.parent / "basaltpoint/load").glob("*.py"):
+        text = path.read_text()
+        assert "time.time" not in text and "import time\n" not in text, path
+        assert "datetime.now" not in text and "utcnow" not in text, path
+
+
+# --- Figures -----------------------------------------------------------------------------------------
+def test_parts_join_to_the_whole() -> None:
+    one = told(class_=(READ, FIX), duration_s=5.0)
+    times = random.Random(3)
+    whole, _ = drive(one, Server(lambda: times.expovariate(50)))
+    joined = Stats()
+    for part in range(3):
+        kept = Stats()
+        for record in whole.records[part::3]:
+            kept.record(record)
+        joined.join(json.loads(json.dumps(kept.pack())))
+    a, b = report.summary(whole, "x"), report.summary(joined, "x")
+    for key in ("total", "by", "latency_ms", "worst", "seconds", "percentiles"):
+        assert a[key] == b[key], key
+
+
+def test_the_page_needs_nothing_else_and_shows_the_spells() -> None:
+    kept, _ = drive(told(), Server(lambda: 0.01), asleep=((3.0, 3.3),))
+    made = report.summary(kept, "<b>surge</b>")
+    page = report.page(made)
+    assert "&lt;b&gt;surge" in page and "<b>surge" not in page
+    assert "http" not in page and "src=" not in page and page.count("<svg") == 2
+    assert "Doesn't count" in page and "DOESN'T COUNT" in report.text(made)
+    assert report.page(report.summary(Stats(), "empty"))
+
+
+def test_compare_tells_chance_from_change() -> None:
+    rng = random.Random(1)
+
+    def runs(p99: float, count: int) -> list[dict[str, object]]:
+        return [
+            {"total": {"in_time": 0.9}, "latency_ms": {"all": {"p99": p99 + rng.gauss(0, 5)}}}
+            for _ in range(count)
+        ]
+
+    def p99(before: float, after: float, count: int) -> compare.Difference:
+        found = compare.compare(runs(before, count), runs(after, count))
+        assert [one.name for one in found] == ["in time, part", "p99 ms"]
+        return found[1]
+
+    assert p99(100, 150, 5).sure
+    assert sum(p99(100, 100, 5).sure for _ in range(40)) <= 8
+    few = p99(100, 150, 2)
+    assert few.low is None and not few.sure and "too few runs" in compare.text([few])
+
+
+# --- Scenario files ------------------------------------------------------------------------------------
+GOOD = """target = ["127.0.0.1:8080"]
+[[plan]]
+name = "team"
+accounts = 10
+rate = 50
+[[class]]
+name = "read"
+[[shape]]
+kind = "surge"
+plan = "team"
+from_s = 2
+to_s = 4
+factor = 5
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('plan = "team"\n', "", "shape[0].plan: missing; allowed: the name of a plan"),
+        (
+            'plan = "team"',
+            'plan = "tema"',
+            'shape[0].plan: found "tema", which is no plan; allowed: one of team',
+        ),
+        ("to_s = 4", "to_s = 1", "shape[0].to_s: found 1; allowed: above from_s, 2, or 0"),
+        ("from_s = 2", "from_s = 20", "shape[0].from_s: found 20; allowed: below duration_s, 10"),
+        ('"surge"', '"runaway"', "shape[0].rate: found 0; allowed: above 0 for a runaway"),
+        ("rate = 50", "rate = 0", "plan[0].rate: found 0; allowed: a number above 0 up to 1e+06"),
+        ('["127.0.0.1:8080"]', "[]", "target: none; allowed: one at least"),
+        ('["127.0.0.1:8080"]', '["here"]', 'target[0]: found "here"; allowed: IP:PORT'),
+        ("accounts", "acounts", 'plan[0].acounts: an unknown key; allowed: did you mean "accounts"?'),
+    ],
+)
+def test_bad_scenarios(tmp_path: Path, old: str, new: str, said: str) -> None:
+    path = tmp_path / "load.toml"
+    path.write_text(GOOD)
+    scenario.load(path)
+    path.write_text(GOOD.replace(old, new))
+    with pytest.raises(FileError) as raised:
+        scenario.load(path)
+    assert f"{path}: {said}" in str(raised.value)
--- /dev/null
+++ b/tests/test_load_run.py
@@ -0,0 +1,207 @@
+"""The load generator as processes against real sockets: counts, a stopped worker, descriptors, the ledger."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from sockets import run
+from standalone import KEY, config, standalone
+
+from basaltpoint.load import coordinator, report, scenario
+from basaltpoint.load.command import read_asked, read_attempts
+from basaltpoint.load.ledger import audit
+from basaltpoint.load.stats import Stats
+from basaltpoint.standins.server import Behaviour, StandIn
+
+ROOT = Path(__file__).parent.parent
+
+
+def written(tmp_path: Path, target: str, top: str = "", rest: str = "", rate: float = 200.0) -> Path:
+    path = tmp_path / "load.toml"
+    path.write_text(
+        f'target = ["{target}"]\nduration_s = 2.0\n{top}\n'
+        f'[[plan]]\nname = "team"\naccounts = 5\nrate = {rate}\nkey = "{KEY}"\n'
+        + (rest or '[[class]]\nname = "read"\naim_ms = 60000\ntimeout_ms = 20000\n')
+    )
+    return path
+
+
+async def play(path: Path, **rest: Any) -> Stats:
+    return await coordinator.run(path, scenario.load(path), lambda told: None, **rest)
+
+
+@pytest.mark.parametrize("processes", [1, 3])
+def test_every_arrival_is_asked_once_and_counted(tmp_path: Path, processes: int) -> None:
+    async def test() -> None:
+        server = StandIn(Behaviour(workers=1000, service_s=lambda rng: 0.005))
+        await server.start()
+        path = written(tmp_path, server.address, f"processes = {processes}")
+        stats = await play(path, ledger=tmp_path / "ledger")
+        made = report.summary(stats, "x")
+        idents = [seen.ident for seen in server.seen]
+        assert made["total"]["served"] == made["total"]["asked"] == len(idents) == len(set(idents)) > 300
+        asked = read_asked(tmp_path / "ledger")
+        assert sorted(one.ident for one in asked) == sorted(idents)
+        assert all(one.answers == 1 for one in asked)
+        server.stop()
+
+    run(test())
+
+
+def test_a_worker_that_is_stopped_says_so(tmp_path: Path) -> None:
+    """SIGSTOP for 300 ms: the run flags that spell, and loses nothing."""
+
+    async def test() -> None:
+        server = StandIn(Behaviour(workers=1000, service_s=lambda rng: 0.001))
+        await server.start()
+        path = written(
+            tmp_path, server.address, rest='[health]\nstall_ms = 150\nlate_ms = 150\n[[class]]\nname = "r"\n'
+        )
+        pids: list[int] = []
+        task = asyncio.create_task(play(path, started=pids.extend))
+        while not server.seen:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        os.kill(pids[0], signal.SIGSTOP)
+        await asyncio.sleep(0.3)
+        os.kill(pids[0], signal.SIGCONT)
+        stats = await task
+        assert any(spell.to_s - spell.from_s >= 0.25 for spell in stats.spells)
+        made = report.summary(stats, "x")
+        assert made["total"]["asked"] == len(server.seen)
+        assert made["lateness_ms"]["max"] >= 150
+        server.stop()
+
+    run(test())
+
+
+def test_strict_ends_with_a_code_of_its_own(tmp_path: Path) -> None:
+    """Descriptors run out: what could not be sent is missed, counted, and no verdict is given."""
+
+    async def test() -> None:
+        server = StandIn(Behaviour(workers=1000, service_s=lambda rng: 1.0))
+        await server.start()
+        path = written(tmp_path, server.address, rate=400.0)
+
+        def few() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "basaltpoint", "load", "run", str(path), "--strict", "--json",
+            str(tmp_path / "out.json"), "--html", str(tmp_path / "out.html"),
+            cwd=ROOT, preexec_fn=few, stdout=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        assert await process.wait() == 3
+        total = json.loads((tmp_path / "out.json").read_text())["runs"][0]["total"]
+        assert total["missed"] > 100 and total["missed"] + total["served"] == total["asked"] > 600
+        assert (tmp_path / "out.html").read_text().startswith("<!doctype html>")
+        server.stop()
+
+    run(test())
+
+
+def test_through_the_limiter_the_ledger_and_the_servers_agree(tmp_path: Path) -> None:
+    """Errors, resets, a drain and a surge: every try one answer, no correction twice, never two at once."""
+
+    async def test() -> None:
+        servers, logs, keys = [], [], dict[str, float]()
+        for number in range(3):
+            logs.append((tmp_path / f"s{number}.log").open("wb"))
+            behaviour = Behaviour(
+                workers=20, service_s=lambda rng: rng.expovariate(200), errors=0.02, resets=0.02
+            )
+            servers.append(StandIn(behaviour, seed=number, name=f"s{number}", log=logs[-1], keys=keys))
+            await servers[-1].start()
+        addresses = [server.address for server in servers]
+        text = config(*addresses, rate="rate = 150\nburst = 100")
+        async with standalone(tmp_path, text) as rig:
+            top = "duration_s = 3.0\nprocesses = 2"
+            rest = (
+                "[retries]\nmost = 2\n"
+                '[[class]]\nname = "read"\nshare = 3\ntimeout_ms = 20000\n'
+                '[[class]]\nname = "fix"\nmethod = "POST"\npath = "/corrections/{n}"\nonce = true\n'
+                '[[class]]\nname = "put"\nmethod = "PUT"\npath = "/o"\nkey_header = "Idempotency-Key"\n'
+                '[[shape]]\nkind = "surge"\nplan = "team"\nfrom_s = 1\nto_s = 2\nfactor = 4\n'
+            )
+            path = written(tmp_path, "{}:{}".format(*rig.limiter.address), top, rest)
+            path.write_text(path.read_text().replace("duration_s = 2.0\n", "", 1))
+            task = asyncio.create_task(play(path, ledger=tmp_path / "ledger"))
+            while sum(len(server.seen) for server in servers) < 200:
+                await asyncio.sleep(0.01)
+            rig.reload(config(*addresses, rate="rate = 150\nburst = 100", drain=(0,)))
+            told = asyncio.get_running_loop().time()
+            stats = await task
+            assert rig.quiet
+        for server, log in zip(servers, logs, strict=True):
+            server.stop()
+            log.close()
+        asked = read_asked(tmp_path / "ledger")
+        attempts = [row for number in range(3) for row in read_attempts(tmp_path / f"s{number}.log")]
+        assert audit(asked, attempts, {"s0": told}) == []
+        total = report.summary(stats, "x")["total"]
+        assert total["refused"] > 0 and total["served"] > 200 and total["none"] == 0
+        assert len(asked) >= total["asked"] and {row.server for row in attempts} == {"s0", "s1", "s2"}
+
+    run(test())
+
+
+def command(*args: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "basaltpoint", "load", *args],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_the_commands(tmp_path: Path) -> None:
+    path = written(tmp_path, "127.0.0.1:1")
+    assert command("check", str(path)).returncode == 0
+    path.write_text("target = 1")
+    done = command("check", str(path))
+    assert done.returncode == 2 and "target: found 1" in done.stderr
+    log, trace = tmp_path / "access.log", tmp_path / "trace"
+    log.write_text('1.2.3.4 - - [01/Dec/2026:09:00:00 +0000] "GET /a HTTP/1.1" 200 5\nrubbish\n')
+    done = command("import", str(log), "-o", str(trace), "--account", "ip", "--salt", "s")
+    assert done.returncode == 0 and "1 kept" in done.stdout and "line 2" in done.stdout
+    assert json.loads(trace.read_text())["path"] == "/a"
+    assert command("import", str(tmp_path / "none"), "-o", str(trace)).returncode == 2
+    for name, value in (("a", 0.9), ("b", 0.5)):
+        runs = [{"total": {"in_time": value}}] * 3
+        (tmp_path / name).write_text(json.dumps({"runs": runs}))
+    done = command("compare", str(tmp_path / "a"), str(tmp_path / "b"))
+    assert done.returncode == 0 and "SURE" in done.stdout
+    (tmp_path / "ledger").write_text('{"ident": "x", "answers": 0, "hung_up": false}\n')
+    (tmp_path / "log").write_text("")
+    done = command("audit", str(tmp_path / "ledger"), str(tmp_path / "log"))
+    assert done.returncode == 4 and "lost: x" in done.stdout
+
+
+def test_the_stand_in_as_a_process(tmp_path: Path) -> None:
+    log = tmp_path / "log"
+    args = ["standin", "--service", "fixed:1", "--name", "s9", "--log", str(log), "--stall", "5:1"]
+    process = subprocess.Popen(
+        [sys.executable, "-m", "basaltpoint", *args], cwd=ROOT, stdout=subprocess.PIPE, text=True
+    )
+    assert process.stdout
+    address = process.stdout.readline().strip()
+
+    async def test() -> None:
+        stats = await play(written(tmp_path, address, rate=20.0))
+        assert report.summary(stats, "x")["total"]["served"] > 5
+
+    run(test())
+    process.terminate()
+    assert process.wait() == 0
+    rows = read_attempts(log)
+    assert rows and all(row.server == "s9" and row.ran and row.ended_s for row in rows)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -1,33 +1,193 @@
-"""The decision module decides as it did: digests recorded from the module as one file (commit adb9746).
-
-Where a change of decisions is meant, record anew and say so in the commit.
-"""
+"""Access logs to traces, traces to arrivals, and the ledger that finds what must not have happened."""
 
 from __future__ import annotations
 
+import io
+import json
+import tracemalloc
+from collections.abc import Iterator
+
 import pytest
-from traces import digest, trace
-
-from basaltpoint import interface as api
-from basaltpoint.policy import Gateway
-
-STEPS = 4000  # events of arrival; some 16 s of the module's clock
-RECORDED = {
-    1: "cf3e85462e735c76",
-    2: "53d256f4508d145e",
-    3: "383ba0b8e9f762cf",
-    4: "375ac20068eb353f",
-    5: "9a4dd4a15e447c53",
-    6: "c6c45cbb919a9f57",
-    7: "4aec5cb42254c840",
-    8: "e5f5e2c3f19cb4fc",
-    9: "8672fc367c7b1d9f",
-    10: "9d0a1fefb12055b0",
-    11: "a4fab27fdbc67f83",
-    12: "8b543148a45b8b25",
-}
-
-
-@pytest.mark.parametrize("seed", RECORDED)
-def test_decisions_are_those_recorded(seed: int) -> None:
-    assert digest(trace(api, Gateway, seed, STEPS)) == RECORDED[seed]
+
+from basaltpoint.load import ledger, traces
+from basaltpoint.load.ledger import Asked, Attempt, audit
+from basaltpoint.load.scenario import ClassTable
+from basaltpoint.load.traces import Import, Row, TraceError
+
+NGINX = '10.0.0.7 - ann [01/Dec/2026:09:00:{:02d} +0000] "GET /series/{} HTTP/1.1" 200 512 "-" "curl/8"'
+ENVOY = '[2026-12-01T09:00:01.250Z] "POST /observations HTTP/1.1" 200 - 42 17 12 11 "10.0.0.9" "curl" "id" "host" "up"'
+
+
+def test_formats() -> None:
+    row = traces.common(NGINX.format(5, 1))
+    assert (row.method, row.path, row.account, row.size) == ("GET", "/series/1", "ann", 0)
+    assert traces.common(NGINX.format(5, 1), "ip").account == "10.0.0.7"
+    assert (
+        traces.common('h - - [01/Dec/2026:10:00:00 +0100] "PUT /x HTTP/1.0" 201 -').t
+        == traces.common(NGINX.format(0, 1)).t
+    )
+    row = traces.envoy(ENVOY)
+    assert (row.method, row.path, row.account, row.size) == ("POST", "/observations", "10.0.0.9", 42)
+    assert row.t % 1 == 0.25
+    assert traces.own('{"t": 1.5, "method": "GET", "path": "/", "class": "read"}') == Row(
+        1.5, "GET", "/", "", "read"
+    )
+    for parse, line in (
+        (traces.common, "rubbish"),
+        (traces.common, NGINX.format(5, 1).replace("Dec", "Dez")),
+        (traces.own, "[]"),
+        (traces.own, '{"t": 1, "method": "GET"}'),
+        (traces.own, '{"t": "1", "method": "GET", "path": "/"}'),
+        (traces.own, '{"t": 1, "method": "GET", "path": "/", "bytes": -1}'),
+    ):
+        with pytest.raises(TraceError):
+            parse(line)
+
+
+def test_bad_lines_are_counted_and_told_and_the_rest_is_kept() -> None:
+    lines = [NGINX.format(n, n) for n in range(5)]
+    lines[2:2] = ["rubbish", "x" * 1_000_000, ""]
+    done = Import()
+    rows = list(traces.read(io.BytesIO("\n".join(lines).encode()), "nginx", done))
+    assert [row.path for row in rows] == [f"/series/{n}" for n in range(5)]
+    assert (done.lines, done.kept) == (8, 5) and sum(done.bad.values()) == 2
+    assert done.shown == ["line 3: not of this format", f"line 4: longer than {traces.LONGEST_LINE} bytes"]
+
+
+def test_times_out_of_order_are_put_right_within_the_window(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(traces, "WINDOW", 10)
+    times = [0, 1, 3, 2, 4, 5, 7, 6, *range(8, 40), 9.5]
+    source = "\n".join(json.dumps({"t": t, "method": "GET", "path": "/"}) for t in times)
+    done = Import()
+    rows = list(traces.read(io.BytesIO(source.encode()), "own", done))
+    assert [row.t for row in rows] == sorted(row.t for row in rows) and len(rows) == len(times)
+    assert (done.moved, done.clamped) == (3, 1)
+
+
+def test_accounts_are_hashed_with_the_salt() -> None:
+    source = (NGINX.format(1, 1) + "\n" + NGINX.format(2, 2)).encode()
+    made = []
+    for salt in (b"one", b"one", b"two"):
+        sink = io.BytesIO()
+        traces.convert(io.BytesIO(source), sink, "nginx", salt)
+        made.append([json.loads(line)["account"] for line in sink.getvalue().splitlines()])
+        assert b"ann" not in sink.getvalue()
+    assert made[0] == made[1] and made[0] != made[2] and len(set(made[0])) == 1
+    again = io.BytesIO()
+    traces.convert(io.BytesIO(sink.getvalue()), again, "own", b"x")
+    assert len(again.getvalue().splitlines()) == 2
+
+
+class Endless(io.RawIOBase):
+    """A log that is made as it is read."""
+
+    def __init__(self, lines: int) -> None:
+        self.left = lines
+        self.buffer = b""
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, into: bytearray) -> int:  # type: ignore[override]
+        while len(self.buffer) < len(into) and self.left:
+            self.left -= 1
+            self.buffer += NGINX.format(self.left % 60, self.left).encode() + b"\n"
+        size = min(len(into), len(self.buffer))
+        into[:size], self.buffer = self.buffer[:size], self.buffer[size:]
+        return size
+
+
+def test_memory_stays_flat_however_long_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(traces, "WINDOW", 500)
+
+    class Null(io.BytesIO):
+        def write(self, data: object) -> int:
+            return 0
+
+    def peak(lines: int) -> int:
+        tracemalloc.start()
+        traces.convert(io.BufferedReader(Endless(lines)), Null(), "nginx", b"s")
+        most = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        return most
+
+    assert peak(20_000) < 1.5 * peak(5_000)
+
+
+def test_a_replay_keeps_gaps_at_its_factor_and_finds_classes() -> None:
+    classes = {
+        name: ClassTable(name=name, method=m)
+        for name, m in (("read", "GET"), ("put", "PUT"), ("fix", "POST"))
+    }
+    rows = [
+        Row(100.0, "GET", "/a"),
+        Row(110.0, "PUT", "/b", "acc", "", 7),
+        Row(160.0, "POST", "/c", "", "fix"),
+    ]
+    asked = list(traces.replay(rows, 10.0, classes))
+    assert [(p.at_s, p.cls, p.account) for p in asked] == [
+        (0.0, "read", "anonymous"),
+        (1.0, "put", "acc"),
+        (6.0, "fix", "anonymous"),
+    ]
+    assert asked[1].body_bytes == 7 and [p.number for p in asked] == [0, 1, 2]
+
+
+def test_a_hundred_thousand_requests_at_ten_times_their_speed() -> None:
+    """Every one is asked, at its time, by the driver on simulated time."""
+    from test_load import Server, drive, told
+
+    def rows() -> Iterator[Row]:
+        for n in range(100_000):
+            yield Row(n / 1000 + (n % 7) / 10_000, "GET", f"/{n}")
+
+    one = told(duration_s=1000.0)
+    classes = {cls.name: cls for cls in one.class_}
+    kept, driver = drive(one, Server(lambda: 0.002), requests=traces.replay(rows(), 10.0, classes))
+    assert driver.asked == len(kept.records) == 100_000
+    last = max(record.planned.at_s for record in kept.records)
+    assert abs(last - 10.0) < 0.01 and not kept.spells
+
+
+# --- The ledger ------------------------------------------------------------------------------------------
+def attempt(ident: str, came: float, ended: float | None, server: str = "s1", **rest: object) -> Attempt:
+    return Attempt(ident, server, came, ended, ran=bool(rest.pop("ran", True)), **rest)  # type: ignore[arg-type]
+
+
+CLEAN = [
+    attempt("a", 0.0, 1.0),
+    attempt("a", 1.0, 2.0, "s2"),  # a repeat, after the first was over
+    attempt("b", 0.0, 0.5, once=True, ran=False),  # declined, so it could go elsewhere
+    attempt("b", 0.6, 0.9, "s2", once=True),
+    attempt("c", 0.0, 0.2, key="k"),
+    attempt("c", 0.3, 0.4, key="k", repeat=True),  # dropped by its key
+    attempt("d", 5.2, 5.3, "s3"),
+]
+ASKED = [Asked("a", 1), Asked("b", 1), Asked("c", 1), Asked("d", 0, hung_up=True)]
+
+
+def test_nothing_is_found_where_all_is_well() -> None:
+    assert audit(ASKED, CLEAN, {"s3": 5.0}) == []
+
+
+@pytest.mark.parametrize(
+    ("kind", "asked", "attempts"),
+    [
+        ("lost", [Asked("x", 0)], []),
+        ("doubled", [Asked("x", 2)], []),
+        ("two at once", [], [attempt("x", 0.0, 1.0), attempt("x", 0.9, 1.1, "s2")]),
+        ("two at once", [], [attempt("x", 0.0, None), attempt("x", 9.0, 9.1, "s2")]),
+        (
+            "two at once",
+            [],
+            [attempt("x", 0.0, 5.0), attempt("x", 6.0, 9.0, "s2"), attempt("x", 7.0, 7.5, "s4")],
+        ),
+        ("ran twice", [], [attempt("x", 0.0, 1.0, once=True), attempt("x", 2.0, 3.0, "s2", once=True)]),
+        ("ran twice", [], [attempt("x", 0.0, 1.0, key="q"), attempt("y", 2.0, 3.0, key="q")]),
+        ("late drain", [], [attempt("x", 5.26, 5.3, "s3")]),
+    ],
+)
+def test_each_planted_fault_is_found(kind: str, asked: list[Asked], attempts: list[Attempt]) -> None:
+    (found,) = audit([*ASKED, *asked], [*CLEAN, *attempts], {"s3": 5.0})
+    assert found.kind == kind and found.ident == "x"
+    assert ledger.GRACE_S == 0.25
