A timer that was due at once broke requests; faults are no longer taken for bad requests

Cause: uvloop's call_at gives a plain handle where the time is past, and a plain handle has no when(). Arming another timer before it ran raised in the middle of whatever was being carried out: an attempt's end, a head that came, a request being taken. Raised inside a parser's callback it was answered as a bad request (400).

Change: the shells remember the time themselves. Faults inside a callback are told from what can't be read: logged in full, 500 to the client, a failed attempt for the module.

--- a/basaltpoint/fronts/http/connection.py
+++ b/basaltpoint/fronts/http/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import socket
 import struct
 from collections import deque
@@ -17,6 +18,8 @@
 from basaltpoint.fronts.http import message
 from basaltpoint.fronts.http.message import BadRequestError, Headers, Request
 
+log = logging.getLogger(__name__)
+
 LINGER_S = 1.0  # how long a refused sender may go on before its connection is cut
 PIPELINED = 1  # requests read ahead; once there is one, reading pauses until its turn
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -181,6 +184,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._deaf = True  # the request itself was answered with 501
+        except httptools.HttpParserCallbackError:
+            # A fault of this program, met while reading: not the client's, and never to be taken for it.
+            log.exception("a request could not be handled")
+            self._fault()
         except httptools.HttpParserError:
             self._reject(400, "the request can't be read")
         if not self._headed and not self._deaf:
@@ -289,6 +296,21 @@
         elif self._queue[0] is inbound:
             self._refused(inbound)
 
+    def _fault(self) -> None:
+        """End everything on this connection; what has its turn is told, if no answer to it has begun."""
+        queue, self._queue = self._queue, deque()
+        self._deaf, self._arriving, self.begun = True, None, None
+        for inbound in queue:
+            if inbound.passage:
+                inbound.passage.gone()
+                inbound.passage = None
+        if not queue or self._answering:
+            self.cut()
+            return
+        queue[0].keep = False
+        self._queue.append(queue[0])
+        self.answer(500, "internal error", [])
+
     def time_out(self, what: str) -> None:
         """The request does not come whole."""
         if self._answering or self._transport is None:
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -61,6 +61,7 @@
         self._effects: deque[Effect] = deque()
         self._busy = False
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0  # of the loop: a handle that is due at once tells no time
         self._apply(setup, first=True)
 
     # --- Clock -------------------------------------------------------------------------------------
@@ -229,9 +230,10 @@
         if (due := self.table.next_ms) is None:
             return
         when = self._loop_time(due)
-        if self._timer is None or when < self._timer.when() - TIMER_S:
+        if self._timer is None or when < self._timer_at:
             if self._timer:
                 self._timer.cancel()
+            self._timer_at = when
             self._timer = asyncio.get_running_loop().call_at(when + TIMER_S, self._tick)
 
     def _tick(self) -> None:
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -95,6 +95,7 @@
         self._effects: deque[Effect] = deque()
         self._busy = False
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0  # of the loop: a handle that is due at once tells no time
         self.known_seq = 0
         self._known(config)
 
@@ -192,10 +193,11 @@
         if (due := self.table.next_ms) is None:
             return
         when = self._loop_time(due)
-        if self._timer is None or when < self._timer.when() - TIMER_S:
+        if self._timer is None or when < self._timer_at:
             if self._timer:
                 self._timer.cancel()
             # The loop counts whole milliseconds; called before its time, the table would do nothing.
+            self._timer_at = when
             self._timer = asyncio.get_running_loop().call_at(when + TIMER_S, self._tick)
 
     def _tick(self) -> None:
--- a/basaltpoint/load/worker.py
+++ b/basaltpoint/load/worker.py
@@ -77,6 +77,7 @@
         )
         self._out: dict[int, Link] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0  # of the loop: a handle that is due at once tells no time
         self._tasks: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
         self._machine = machine_times()
@@ -138,10 +139,10 @@
             return  # connections that come up will go on
         loop = asyncio.get_running_loop()
         when = loop.time() + max(0.0, due - self.now())
-        if self._timer is None or when < self._timer.when():
+        if self._timer is None or when < self._timer_at:
             if self._timer:
                 self._timer.cancel()
-            self._timer = loop.call_at(when, self._tick)
+            self._timer_at, self._timer = when, loop.call_at(when, self._tick)
 
     def _send(self, one: Try) -> None:
         link = self._links.take()
--- a/basaltpoint/upstream/streams.py
+++ b/basaltpoint/upstream/streams.py
@@ -148,6 +148,11 @@
         except httptools.HttpParserUpgrade:
             self._spoil("an upgrade that nobody asked for")
             return
+        except httptools.HttpParserCallbackError:
+            # A fault of this program, met while reading: told in full, and the attempt ends.
+            log.exception("server %s: an answer could not be handled", self._server.dial)
+            self._fail(Status.ERROR)
+            return
         except httptools.HttpParserError as error:
             self._keep = False
             if not self._complete:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -780,3 +780,45 @@
                 await until(lambda: not healths[1].down)
 
     run(test())
+
+
+# --- Faults of this program ------------------------------------------------------------------------
+def test_a_timer_that_is_due_already_is_followed_by_others(tmp_path: Path) -> None:
+    """A handle for what is due at once tells no time; asking it for one broke every request meanwhile."""
+
+    async def test() -> None:
+        async with backend(echo) as server, standalone(tmp_path, config(server.address)) as rig:
+            relay = rig.limiter.relay
+            for late in (5.0, 6.0, -50.0):
+                relay.table._plan(relay.now() - late, 0, 77)
+                relay._arm()
+            client = await rig.connect()
+            assert (await client.ask(request())).code == 200
+            await until(lambda: relay.table.next_ms is None)
+
+    run(test())
+
+
+def test_a_fault_while_reading_is_no_fault_of_the_client(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        async with backend(echo) as server, standalone(tmp_path, config(server.address)) as rig:
+            relay = rig.limiter.relay
+
+            def fail(*_: object) -> None:
+                raise RuntimeError("a fault of this program")
+
+            for name in ("take", "begun"):
+                good = getattr(relay, name)
+                setattr(relay, name, fail)
+                client = await rig.connect()
+                client.send(request())
+                assert (await read_head(client))[0] in (500, 502, 503)
+                setattr(relay, name, good)
+                assert "a fault of this program" in caplog.text
+                caplog.clear()
+            client = await rig.connect()
+            assert (await client.ask(request())).code == 200
+
+    run(test())
