Stand-in servers can share keys; the scenarios' audit tells its findings

Need: in a first run of the stall scenario the audit told of one finding and not which. The stand-ins were processes that each knew only its own keys, so a repeat that a real fleet drops would run on two.

The first one's kind is not known.

--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -1,6 +1,6 @@
 """The limiter under the example scenarios: a plan surges, an account runs away, servers stall.
 
-    python benchmarks/scenarios.py
+    python benchmarks/scenarios.py [surge.toml ...]
 
 For each of examples/load/*.toml: three stand-in servers, a limiter with examples/demo.toml, the load, and
 an audit of the ledger against the servers' logs. Prints one table a scenario.
@@ -48,11 +48,14 @@
 
 
 def play(path: Path, folder: Path) -> None:
+    keys = folder / "keys"
+    keys.mkdir()
     servers, logs = [], [folder / f"s{number}.log" for number in (1, 2, 3)]
     text, address = (ROOT / "examples/demo.toml").read_text(), free_address()
     for number, log in enumerate(logs, 1):
         extra = STALLED.get(path.name, [])
-        args = ["--name", f"s{number}", "--workers", "8", "--service", "exp:20", "--log", str(log), *extra]
+        args = ["--name", f"s{number}", "--workers", "8", "--service", "exp:20", "--log", str(log)]
+        args += ["--keys", str(keys), *extra]
         servers.append(start("standin", *args))
         assert servers[-1].stdout
         text = text.replace(f"127.0.0.1:900{number}", servers[-1].stdout.readline().strip())
@@ -71,10 +74,15 @@
             process.wait()
     findings = audit(read_asked(folder / "ledger"), [row for log in logs for row in read_attempts(log)])
     print(f"\n{path.name}\n{report.text(made)}\naudit: {len(findings)} findings")
+    for one in findings:
+        print(f"  {one.kind}: {one.ident}: {one.what}")
 
 
 def main() -> None:
+    wanted = sys.argv[1:]
     for path in sorted((ROOT / "examples/load").glob("*.toml")):
+        if wanted and path.name not in wanted:
+            continue
         with tempfile.TemporaryDirectory() as folder:
             play(path, Path(folder))
 
