One shell round the request table for both fronts

Change: fronts/shell.py holds them; the platform's limiter and the ordinary front are subclasses that carry effects out.

--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -6,7 +6,6 @@
 import logging
 import math
 import time
-from collections import deque
 from functools import partial
 
 from basaltpoint import interface as api
@@ -16,23 +15,23 @@
 from basaltpoint.fronts.http.connection import ClientConnection
 from basaltpoint.fronts.http.message import BadRequestError, Changes, Headers, Origin, Outgoing, Request
 from basaltpoint.fronts.http.passage import Check, Passage
+from basaltpoint.fronts.shell import Shell
 from basaltpoint.interface import Effect as Repeats
 from basaltpoint.interface import ServerState, Status, Why
 from basaltpoint.policy import Gateway
 from basaltpoint.routing.accounts import Stranger, client_address, trusts
-from basaltpoint.upstream.servers import TIMER_S, Answer, Servers
+from basaltpoint.upstream.servers import Answer, Servers
 from basaltpoint.upstream.streams import StreamAnswers, StreamAttempt
 
 log = logging.getLogger(__name__)
 
-EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
 EARLY_MS = 10.0  # the module's deadline lies so much before the client's: the answer is on its way, too
 DAY_S = 86400.0  # stands for no limit while a body is on its way; the stall bound ends it
 MARGIN = 32  # descriptors for the listener, the loop and the log
 SERVER_PART = 0.4  # of the sockets may be connections to servers
 
 
-class Relay:
+class Relay(Shell):
     """Holds the request table, the servers and what the present configuration says."""
 
     def __init__(self, setup: Setup, seed: int) -> None:
@@ -43,9 +42,8 @@
         self.buffer = file.limits.buffer_kb * 1024
         self.closing = False
         self.gateway = Gateway(setup.settings, seed)
-        self.table = Table(self.gateway, setup.settings.max_attempts, file.limits.requests)
+        super().__init__(Table(self.gateway, setup.settings.max_attempts, file.limits.requests))
         self.connections: dict[ClientConnection, None] = {}
-        self._origin = time.monotonic()
         make = partial(StreamAnswers, head_limit=self.head_limit, buffer=self.buffer)
         most = int((file.limits.sockets - MARGIN) * SERVER_PART)
         self.most_clients = file.limits.sockets - MARGIN - most
@@ -58,23 +56,12 @@
         self._attempts: dict[int, StreamAttempt] = {}  # the one that is out, by request
         self._memory = int(file.limits.memory_mb * (1 << 20))
         self._held = 0  # bytes of bodies
-        self._effects: deque[Effect] = deque()
-        self._busy = False
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = 0.0  # of the loop: a handle that is due at once tells no time
         self._apply(setup, first=True)
 
-    # --- Clock -------------------------------------------------------------------------------------
-    def now(self) -> float:
-        return (time.monotonic() - self._origin) * 1000 + EPOCH_MS
-
-    def _loop_time(self, ms: float) -> float:
-        return (ms - EPOCH_MS) / 1000 + self._origin
-
     # --- Configuration -----------------------------------------------------------------------------
     def apply(self, setup: Setup) -> None:
         """Go over to another configuration at once; requests that are out keep what they were taken with."""
-        self._do(self.table.tell(self.now(), api.NewSettings(setup.settings)))
+        self.do(self.table.tell(self.now(), api.NewSettings(setup.settings)))
         self._apply(setup, first=False)
 
     def _apply(self, setup: Setup, first: bool) -> None:
@@ -90,7 +77,7 @@
         pools = set(setup.pools.values())
         for pool in sorted(pools | self._pools):
             members = tuple(self._server(spec) for spec in setup.servers if pool in spec.pools)
-            self._do(self.table.tell(now, api.ServerList(api.ListKind.FULL, members, pool)))
+            self.do(self.table.tell(now, api.ServerList(api.ListKind.FULL, members, pool)))
         self._pools = pools
         for number in before.keys() - self._placed.keys():
             self.servers.remove(number)
@@ -164,24 +151,24 @@
         )
         passage.ident, effects = self.table.take(self.now(), ticket)
         self._passages[passage.ident] = passage
-        self._do(effects)
+        self.do(effects)
 
     def abandon(self, passage: Passage) -> None:
         """Its client has gone."""
         self._passages.pop(passage.ident, None)
-        self._do(self.table.abandon(self.now(), passage.ident))
+        self.do(self.table.abandon(self.now(), passage.ident))
 
     def begun(self, passage: Passage) -> None:
         """Its answer's head has come and is to be passed on."""
-        self._do(self.table.begun(self.now(), passage.ident, passage.number))
+        self.do(self.table.begun(self.now(), passage.ident, passage.number))
 
     def uploaded(self, passage: Passage) -> None:
         """Its streamed body is whole: now the deadline counts."""
         now = self.now()
         self.table.uploaded(now, passage.ident)
         if passage.attempt and not passage.passing:
-            passage.attempt.rearm(self._loop_time(now + max(passage.wait_ms - EARLY_MS, passage.wait_ms / 2)))
-        self._arm()
+            passage.attempt.rearm(self.loop_time(now + max(passage.wait_ms - EARLY_MS, passage.wait_ms / 2)))
+        self.arm()
 
     def hold(self, size: int) -> bool:
         """Account for so many bytes of bodies; False where the memory has no room for them."""
@@ -212,35 +199,7 @@
         return True
 
     # --- Effects -------------------------------------------------------------------------------------
-    def _do(self, effects: list[Effect]) -> None:
-        """Carry effects out; what they cause themselves waits until they are done."""
-        self._effects += effects
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._effects:
-                self._carry_out(self._effects.popleft())
-        finally:
-            self._busy = False
-        self._arm()
-
-    def _arm(self) -> None:
-        """Have the table called when it is next due. Most requests end long before: the timer stays."""
-        if (due := self.table.next_ms) is None:
-            return
-        when = self._loop_time(due)
-        if self._timer is None or when < self._timer_at:
-            if self._timer:
-                self._timer.cancel()
-            self._timer_at = when
-            self._timer = asyncio.get_running_loop().call_at(when + TIMER_S, self._tick)
-
-    def _tick(self) -> None:
-        self._timer = None
-        self._do(self.table.tick(self.now()))
-
-    def _carry_out(self, effect: Effect) -> None:
+    def carry_out(self, effect: Effect) -> None:
         match effect:
             case Dispatch():
                 self._dispatch(effect)
@@ -263,7 +222,7 @@
 
     def _dispatch(self, effect: Dispatch) -> None:
         passage = self._passages[effect.request]  # the table sends for no other
-        until = self._loop_time(effect.until_ms)
+        until = self.loop_time(effect.until_ms)
         if passage.streamed:
             until = asyncio.get_running_loop().time() + DAY_S
         head_only = passage.request.method == b"HEAD"
@@ -282,7 +241,7 @@
 
     def ended(self, passage: Passage, status: Status, final: bool) -> None:
         """An attempt of it is over."""
-        self._do(self.table.ended(self.now(), passage.ident, passage.number, status, final=final))
+        self.do(self.table.ended(self.now(), passage.ident, passage.number, status, final=final))
 
     def _withdraw(self, effect: Withdraw) -> None:
         if attempt := self._attempts.get(effect.request):
@@ -291,7 +250,7 @@
     def _probe(self, server: int) -> None:
         health, now, check = self.setup.file.health, self.now(), Check()
         if health is None or server not in self._placed:
-            self._do(self.table.tell(now, api.ProbeResult(server, Status.CANCELLED, 0.0)))
+            self.do(self.table.tell(now, api.ProbeResult(server, Status.CANCELLED, 0.0)))
             return
         host, port = self._placed[server].address
         name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
@@ -300,9 +259,9 @@
         def ended(answer: Answer) -> None:
             good = answer.status is Status.OK and check.good
             status = Status.OK if good else Status.ERROR
-            self._do(self.table.tell(self.now(), api.ProbeResult(server, status, self.now() - now)))
+            self.do(self.table.tell(self.now(), api.ProbeResult(server, status, self.now() - now)))
 
-        until = self._loop_time(now + health.timeout_ms)
+        until = self.loop_time(now + health.timeout_ms)
         self.servers.begin(server, StreamAttempt(raw.encode(), until, ended, check, False))
 
     # --- What goes with a refusal ----------------------------------------------------------------------
@@ -358,5 +317,4 @@
         for attempt in list(self._attempts.values()):
             attempt.cancel()
         self.servers.close()
-        if self._timer:
-            self._timer.cancel()
+        self.disarm()
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
 import json
 import logging
 import time
-from collections import deque
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
@@ -15,15 +13,15 @@
 from basaltpoint import interface as api
 from basaltpoint.core.table import Begin, Dispatch, Effect, Ending, Fault, Reply, Table, Ticket, Withdraw
 from basaltpoint.fronts.platform.config import Config
+from basaltpoint.fronts.shell import EPOCH_MS, Shell
 from basaltpoint.interface import ServerState
 from basaltpoint.membership.discovery import Host, HostList, parse_list
 from basaltpoint.policy import Gateway
-from basaltpoint.upstream.servers import TIMER_S, Answer, Attempt, Servers
+from basaltpoint.upstream.servers import Answer, Attempt, Servers
 from basaltpoint.upstream.whole import REUSE_S, WholeAnswers
 
 log = logging.getLogger(__name__)
 
-EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
 EARLY_S = 0.010  # the module's deadline lies so much before the client's: the answer is on its way, too
 PROBE_S = 0.25
 LOAD_MOST = 10_000.0  # of any figure in a load report; no server holds or serves more
@@ -75,14 +73,13 @@
     return values if all(0 <= value <= LOAD_MOST for value in values) else ()
 
 
-class Limiter:
+class Limiter(Shell):
     """Holds the request table, the sockets' side of each request, and the clock."""
 
     def __init__(self, config: Config) -> None:
         self._settings = config.settings
         self.gateway = Gateway(config.settings, config.seed)
-        self.table = Table(self.gateway, config.settings.max_attempts, config.max_open)
-        self._origin = time.monotonic()
+        super().__init__(Table(self.gateway, config.settings.max_attempts, config.max_open))
         # One offset for good: converted afresh each time, a start would seem to move and be a restart.
         self._wall_ms = EPOCH_MS - time.time() * 1000
         most = int((config.sockets - MARGIN) * SERVER_PART)
@@ -92,10 +89,6 @@
         self._zones = {zone: number for number, zone in enumerate(config.zones)}
         self._calls: dict[int, Call] = {}  # of the requests that wait for their reply
         self._attempts: dict[int, Attempt] = {}  # the one that is out, by request
-        self._effects: deque[Effect] = deque()
-        self._busy = False
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = 0.0  # of the loop: a handle that is due at once tells no time
         self.known_seq = 0
         self._known(config)
 
@@ -108,13 +101,6 @@
         self.known_seq = told.seq
         self._list(told, api.ListKind.CACHED)
 
-    # --- Clock -------------------------------------------------------------------------------
-    def _now(self) -> float:
-        return (time.monotonic() - self._origin) * 1000 + EPOCH_MS
-
-    def _loop_time(self, ms: float) -> float:
-        return (ms - EPOCH_MS) / 1000 + self._origin
-
     # --- What clients and discovery tell -------------------------------------------------------
     @property
     def ready(self) -> bool:
@@ -138,22 +124,22 @@
             EARLY_S * 1000,
             name=terms.name,
         )
-        ident, effects = self.table.take(self._now(), ticket)
+        ident, effects = self.table.take(self.now(), ticket)
         self._calls[ident] = call
-        self._do(effects)
+        self.do(effects)
         return ident
 
     def abandon(self, ident: int) -> None:
         """The client has hung up."""
         if self._calls.pop(ident, None):
-            self._do(self.table.abandon(self._now(), ident))
+            self.do(self.table.abandon(self.now(), ident))
 
     def listed(self, told: HostList) -> None:
         self._list(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
 
     def _list(self, told: HostList, kind: api.ListKind) -> None:
         servers = tuple(self._server(host) for host in told.hosts)
-        self._do(self.table.tell(self._now(), api.ServerList(kind, servers)))
+        self.do(self.table.tell(self.now(), api.ServerList(kind, servers)))
         left = {host.name for host in told.hosts if host.state is ServerState.GONE}
         if kind is not api.ListKind.DELTA:
             left |= self._numbers.keys() - {host.name for host in told.hosts}
@@ -175,36 +161,7 @@
         self._servers.close()
 
     # --- Effects -------------------------------------------------------------------------------
-    def _do(self, effects: list[Effect]) -> None:
-        """Carry effects out; what they cause themselves waits until they are done."""
-        self._effects += effects
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._effects:
-                self._carry_out(self._effects.popleft())
-        finally:
-            self._busy = False
-        self._arm()
-
-    def _arm(self) -> None:
-        """Have the table called when it is next due. Most requests end long before: the timer stays."""
-        if (due := self.table.next_ms) is None:
-            return
-        when = self._loop_time(due)
-        if self._timer is None or when < self._timer_at:
-            if self._timer:
-                self._timer.cancel()
-            # The loop counts whole milliseconds; called before its time, the table would do nothing.
-            self._timer_at = when
-            self._timer = asyncio.get_running_loop().call_at(when + TIMER_S, self._tick)
-
-    def _tick(self) -> None:
-        self._timer = None
-        self._do(self.table.tick(self._now()))
-
-    def _carry_out(self, effect: Effect) -> None:
+    def carry_out(self, effect: Effect) -> None:
         match effect:
             case Dispatch():
                 self._dispatch(effect)
@@ -227,20 +184,20 @@
 
     def _dispatch(self, effect: Dispatch) -> None:
         ident, call = effect.request, self._calls[effect.request]  # the table sends for no other
-        left = f"Req-Deadline: {(effect.until_ms - self._now()) / 1000:.3f}\r\n\r\n"
+        left = f"Req-Deadline: {(effect.until_ms - self.now()) / 1000:.3f}\r\n\r\n"
         self._attempts[ident] = self._servers.send(
             effect.server,
             call.forward + left.encode() + call.body,
-            self._loop_time(effect.until_ms),
+            self.loop_time(effect.until_ms),
             partial(self._ended, ident, effect.attempt),
         )
 
     def _ended(self, ident: int, number: int, reply: Answer) -> None:
         self._attempts.pop(ident, None)
         load = read_load(self._settings.report_fields, reply.load)
-        self._do(
+        self.do(
             self.table.ended(
-                self._now(), ident, number, reply.status, usage=reply.usage, report=load, payload=reply
+                self.now(), ident, number, reply.status, usage=reply.usage, report=load, payload=reply
             )
         )
 
@@ -251,11 +208,11 @@
             call.answer(CODES[effect.ending], retry_s=effect.retry_in_ms / 1000)
 
     def _probe(self, server: int) -> None:
-        now = self._now()
+        now = self.now()
 
         def ended(reply: Answer) -> None:
             load = read_load(self._settings.report_fields, reply.load or reply.body)
-            event = api.ProbeResult(server, reply.status, self._now() - now, load)
-            self._do(self.table.tell(self._now(), event))
+            event = api.ProbeResult(server, reply.status, self.now() - now, load)
+            self.do(self.table.tell(self.now(), event))
 
-        self._servers.send(server, PROBE, self._loop_time(now) + PROBE_S, ended)
+        self._servers.send(server, PROBE, self.loop_time(now) + PROBE_S, ended)
--- /dev/null
+++ b/basaltpoint/fronts/shell.py
@@ -0,0 +1,68 @@
+"""What every front puts round the request table: clock, one timer, effects carried out in their order."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+
+from basaltpoint.core.table import Effect, Table
+
+EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
+TIMER_S = 0.001  # the loop counts whole milliseconds; called before its time, the table would do nothing
+
+
+class Shell:
+    """A front's side of the table; a subclass says how an effect is carried out."""
+
+    def __init__(self, table: Table) -> None:
+        self.table = table
+        self._origin = time.monotonic()
+        self._effects: deque[Effect] = deque()
+        self._busy = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0  # of the loop: a handle that is due at once tells no time
+
+    def now(self) -> float:
+        """The module's clock, ms."""
+        return (time.monotonic() - self._origin) * 1000 + EPOCH_MS
+
+    def loop_time(self, ms: float) -> float:
+        """A time of the module's clock on that of the loop."""
+        return (ms - EPOCH_MS) / 1000 + self._origin
+
+    def do(self, effects: list[Effect]) -> None:
+        """Carry effects out; what they cause themselves waits until they are done."""
+        self._effects += effects
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._effects:
+                self.carry_out(self._effects.popleft())
+        finally:
+            self._busy = False
+        self.arm()
+
+    def carry_out(self, effect: Effect) -> None:
+        raise NotImplementedError
+
+    def arm(self) -> None:
+        """Have the table called when it is next due. Most requests end long before: the timer stays."""
+        if (due := self.table.next_ms) is None:
+            return
+        when = self.loop_time(due)
+        if self._timer is None or when < self._timer_at:
+            if self._timer:
+                self._timer.cancel()
+            self._timer_at = when
+            self._timer = asyncio.get_running_loop().call_at(when + TIMER_S, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.do(self.table.tick(self.now()))
+
+    def disarm(self) -> None:
+        """The table is not called any more."""
+        if self._timer:
+            self._timer.cancel()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -16,6 +16,7 @@
     ("cli",),
     ("daemon",),
     ("fronts.platform", "fronts.http"),
+    ("fronts.shell",),
     ("sim",),
     ("importers", "load", "verify", "standins"),
     ("upstream",),
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -534,8 +534,8 @@
     async def test() -> None:
         async with backend(echo) as server, limiter(host("a", server.address)) as rig:
             for late in (5.0, 6.0, -50.0):
-                rig.limiter.table._plan(rig.limiter._now() - late, 0, 77)
-                rig.limiter._arm()
+                rig.limiter.table._plan(rig.limiter.now() - late, 0, 77)
+                rig.limiter.arm()
             client = await rig.connect()
             assert (await client.ask(message())).code == 200
             await until(lambda: rig.limiter.table.next_ms is None)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -197,7 +197,7 @@
                     watched.tell(listing(seq, host("a", "127.0.0.1:1", born_ms=born)))
                 await until(lambda: rig.watch.seq == 49)
                 assert fleet.peers[0] is before
-                assert 2500 < rig.limiter._now() - before.entry.started_ms < 30_000
+                assert 2500 < rig.limiter.now() - before.entry.started_ms < 30_000
 
     run(test())
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -791,7 +791,7 @@
             relay = rig.limiter.relay
             for late in (5.0, 6.0, -50.0):
                 relay.table._plan(relay.now() - late, 0, 77)
-                relay._arm()
+                relay.arm()
             client = await rig.connect()
             assert (await client.ask(request())).code == 200
             await until(lambda: relay.table.next_ms is None)
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -46,9 +46,9 @@
 
         async with backend(script) as server:
             async with limiter(host("a", server.address), settings=METERED) as rig:
-                start = rig.limiter._now() // 1000.0 * 1000.0 + 1000.0
+                start = rig.limiter.now() // 1000.0 * 1000.0 + 1000.0
                 clock = [start]
-                rig.limiter._now = lambda: clock[0]  # type: ignore[method-assign]
+                rig.limiter.now = lambda: clock[0]  # type: ignore[method-assign]
                 client, sent, number = await rig.connect(), [], count()
                 for now, customer, ours in tries(random.Random(seed), 20):
                     sent.append((now, customer))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -43,8 +43,8 @@
 
     async def test() -> None:
         async with backend() as server, limiter(host("a", server.address), settings=AIMED) as rig:
-            clock = [rig.limiter._now()]
-            rig.limiter._now = lambda: clock[0]  # type: ignore[method-assign]
+            clock = [rig.limiter.now()]
+            rig.limiter.now = lambda: clock[0]  # type: ignore[method-assign]
             held: list[Out | None] = []
             refused = 0
             for step in range(80):
