The log tells which server a number is

Need: followed from a fresh clone, the guide leads to 'server 1 is down by its probes', and nothing said which that is.

Change: a line for each server at its first listing.

--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -73,6 +73,8 @@
         self._placed = {spec.number: spec for spec in setup.servers}
         for spec in setup.servers:
             self.servers.place(spec.number, spec.address, not spec.drain, spec.connections)
+            if spec.number not in before:  # the log's later lines go by number
+                log.info("server %d is %s at %s:%d", spec.number, spec.name, *spec.address)
             self._started.setdefault(spec.number, 0.0 if first else now)
         pools = set(setup.pools.values())
         for pool in sorted(pools | self._pools):
