One piece for what stood twice: names and descriptions in files, the loop's millisecond

Change: config/schema.py owns NAME and described(), the scenario's file uses them; the shell takes TIMER_S from upstream/servers.py; the rest is gone.

Left: the fronts' reading of requests (http/connection.py and platform/clients.py) has lines alike, with other bounds and another order of answers; effects and actions have the shape of records.

--- a/basaltpoint/config/build.py
+++ b/basaltpoint/config/build.py
@@ -116,7 +116,7 @@
         classes, handlings = self._classes()
         servers = self._servers()
         routes, pools = self._routes(handlings)
-        accounts = self._accounts()
+        accounts, trusted = self._accounts(), self._trusted()
         if self.out.problems:
             raise FileError(self.out.problems)
         return Setup(
@@ -127,7 +127,7 @@
             accounts,
             servers,
             {pool.name: self.numbers.of("pool", pool.name) for pool in self.file.pool},
-            self._trusted(),
+            trusted,
         )
 
     # --- Names ---------------------------------------------------------------------------------
@@ -178,7 +178,7 @@
                 )
 
     def _classes(self) -> tuple[list[api.RequestClass], list[Handling]]:
-        classes, handlings = [], []
+        classes, made = [], list[Handling]()
         for at, row in enumerate(self.file.class_):
             path = f"class[{at}]"
             if row.aim_ms > row.deadline_ms:
@@ -191,9 +191,8 @@
                 )
                 self.out.add(f"{path}.window_ms", f"found {row.window_ms:g}", wanted)
             classes.append(self._class(row, row.effect))
-            handlings.append(row)
-        made = []
-        for at, row in enumerate(handlings):
+        # Twins come behind, so that a class keeps its place in the file as its number.
+        for at, row in enumerate(self.file.class_):
             twin = None
             if row.effect is Effect.KEYED and row.key_missing is KeyMissing.UNSAFE:
                 twin = len(classes)
@@ -400,7 +399,6 @@
 
     def _accounts(self) -> Accounts:
         table, found = self.file.identity, dict[bytes, Account]()
-        self._trusted()
         plan = self._anonymous()
         names: dict[str, str] = {}
         for path, row in self._account_rows():
--- a/basaltpoint/config/schema.py
+++ b/basaltpoint/config/schema.py
@@ -22,12 +22,12 @@
     UNSAFE = "unsafe"
 
 
-def _meta(text: str, **bounds: Any) -> Meta:
-    return Meta(description=text, **bounds)
+NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"  # of anything that a file names
 
 
-Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-Text = Annotated[str, Meta(min_length=1)]
+def described(text: str, **bounds: Any) -> Meta:
+    """A key's bounds, and its line of the reference."""
+    return Meta(description=text, **bounds)
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,22 +39,23 @@
 
     memory_mb: Annotated[
         float,
-        _meta(
+        described(
             "Memory for bodies and buffers, beside the program's own 40 MB. Too small: 503 under load; too large: the system ends the process.",
             ge=8,
             le=1048576,
         ),
     ] = 192.0
     sockets: Annotated[
-        int, _meta("Descriptors; 60% for clients, 40% for servers, 32 kept back.", ge=64, le=1048576)
+        int, described("Descriptors; 60% for clients, 40% for servers, 32 kept back.", ge=64, le=1048576)
     ] = 1024
-    requests: Annotated[int, _meta("Requests in hand at once; beyond, 503.", ge=1, le=1000000)] = 1000
+    requests: Annotated[int, described("Requests in hand at once; beyond, 503.", ge=1, le=1000000)] = 1000
     head_kb: Annotated[
-        int, _meta("Longest head of a request or an answer; beyond, 431 or a failed attempt.", ge=1, le=1024)
+        int,
+        described("Longest head of a request or an answer; beyond, 431 or a failed attempt.", ge=1, le=1024),
     ] = 16
     buffer_kb: Annotated[
         int,
-        _meta(
+        described(
             "Bytes of one streamed answer or request held for a slow reader; then its sender is paused.",
             ge=4,
             le=16384,
@@ -66,98 +67,108 @@
     """`[clients]`: connections of clients."""
 
     idle_s: Annotated[
-        float, _meta("A kept connection with no request is closed after this.", gt=0, le=86400)
+        float, described("A kept connection with no request is closed after this.", gt=0, le=86400)
     ] = 60.0
-    head_s: Annotated[float, _meta("For a request's head to come whole; beyond, 408.", gt=0, le=600)] = 5.0
+    head_s: Annotated[float, described("For a request's head to come whole; beyond, 408.", gt=0, le=600)] = (
+        5.0
+    )
     stall_s: Annotated[
         float,
-        _meta(
+        described(
             "A client that sends or reads nothing for so long, with a request or an answer under way, is cut off.",
             gt=0,
             le=3600,
         ),
     ] = 30.0
     drain_s: Annotated[
-        float, _meta("After SIGTERM requests in hand may take so long; then they are cut off.", gt=0, le=3600)
+        float,
+        described("After SIGTERM requests in hand may take so long; then they are cut off.", gt=0, le=3600),
     ] = 30.0
 
 
 class IdentityTable(Table, frozen=True, kw_only=True):
     """`[identity]`: how accounts are told."""
 
-    header: Annotated[str, _meta("Header that brings the API key.", pattern=r"^[A-Za-z0-9-]{1,64}$")] = (
+    header: Annotated[str, described("Header that brings the API key.", pattern=r"^[A-Za-z0-9-]{1,64}$")] = (
         "X-Api-Key"
     )
     bearer: Annotated[
-        bool, _meta("Whether `Authorization: Bearer KEY` counts, too; the header goes first.")
+        bool, described("Whether `Authorization: Bearer KEY` counts, too; the header goes first.")
     ] = True
-    no_key: Annotated[Missing, _meta("A request with no key: 401, or the anonymous plan.")] = Missing.REFUSE
+    no_key: Annotated[Missing, described("A request with no key: 401, or the anonymous plan.")] = (
+        Missing.REFUSE
+    )
     unknown_key: Annotated[
-        Missing, _meta("A request with a key of no account: 401, or the anonymous plan.")
+        Missing, described("A request with a key of no account: 401, or the anonymous plan.")
     ] = Missing.REFUSE
     anonymous_plan: Annotated[
         str,
-        _meta("Plan of each client address without an account; needed where one of the two above says so."),
+        described(
+            "Plan of each client address without an account; needed where one of the two above says so."
+        ),
     ] = ""
-    forward_key: Annotated[bool, _meta("Whether the key goes on to the servers.")] = False
+    forward_key: Annotated[bool, described("Whether the key goes on to the servers.")] = False
     trusted_proxies: Annotated[
-        tuple[str, ...], _meta("Networks (CIDR) whose X-Forwarded-For is believed for the client's address.")
+        tuple[str, ...],
+        described("Networks (CIDR) whose X-Forwarded-For is believed for the client's address."),
     ] = ()
 
 
 class PlanTable(Table, frozen=True, kw_only=True):
     """`[[plan]]`: what an account may use."""
 
-    name: Annotated[str, _meta("Its name.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-    rate: Annotated[float, _meta("Units a second that the quota fills with.", gt=0, le=1e9)]
+    name: Annotated[str, described("Its name.", pattern=NAME)]
+    rate: Annotated[float, described("Units a second that the quota fills with.", gt=0, le=1e9)]
     burst: Annotated[
         float,
-        _meta("Units that may be used at once. Below the units of one request none passes.", gt=0, le=1e9),
+        described(
+            "Units that may be used at once. Below the units of one request none passes.", gt=0, le=1e9
+        ),
     ]
-    parallel: Annotated[int, _meta("Requests out at once; 0 for no bound.", ge=0, le=1000000)] = 0
+    parallel: Annotated[int, described("Requests out at once; 0 for no bound.", ge=0, le=1000000)] = 0
     ceiling_rate: Annotated[
         float,
-        _meta(
+        described(
             "Units a second that can never be passed, whatever the quota lets through; 0 for none.",
             ge=0,
             le=1e9,
         ),
     ] = 0.0
     ceiling_burst: Annotated[
-        float, _meta("Units of the ceiling at once. It starts empty with the process.", ge=0, le=1e9)
+        float, described("Units of the ceiling at once. It starts empty with the process.", ge=0, le=1e9)
     ] = 0.0
 
 
 class AccountTable(Table, frozen=True, kw_only=True):
     """`[[account]]`: who may ask."""
 
-    name: Annotated[str, _meta("Its name.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-    plan: Annotated[str, _meta("Name of its plan.", min_length=1)]
+    name: Annotated[str, described("Its name.", pattern=NAME)]
+    plan: Annotated[str, described("Name of its plan.", min_length=1)]
     keys: Annotated[
         tuple[str, ...],
-        _meta("Digests of its keys, `sha256:` and 64 hex digits, as `basaltpoint hash-key` prints them."),
+        described("Digests of its keys, `sha256:` and 64 hex digits, as `basaltpoint hash-key` prints them."),
     ]
 
 
 class ClassTable(Table, frozen=True, kw_only=True):
     """`[[class]]`: how requests of a kind may be handled."""
 
-    name: Annotated[str, _meta("Its name.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+    name: Annotated[str, described("Its name.", pattern=NAME)]
     effect: Annotated[
         Effect,
-        _meta(
+        described(
             "`safe`: may run any number of times. `keyed`: servers drop repeats of a key. `unsafe`: must not run twice."
         ),
     ]
     key_header: Annotated[
-        str, _meta("Header with the key of a keyed request.", pattern=r"^[A-Za-z0-9-]{1,64}$")
+        str, described("Header with the key of a keyed request.", pattern=r"^[A-Za-z0-9-]{1,64}$")
     ] = "Idempotency-Key"
     key_missing: Annotated[
-        KeyMissing, _meta("A keyed request without its key: 400, or handled as unsafe.")
+        KeyMissing, described("A keyed request without its key: 400, or handled as unsafe.")
     ] = KeyMissing.REFUSE
     window_ms: Annotated[
         float,
-        _meta(
+        described(
             "How long servers drop repeats of a key. Too long: an effect twice; too short: fewer repeats.",
             ge=0,
             le=86400000,
@@ -165,25 +176,25 @@
     ] = 0.0
     aim_ms: Annotated[
         float,
-        _meta(
+        described(
             "Wanted time to the answer's head; the load that is let through is steered by it.",
             gt=0,
             le=3600000,
         ),
     ] = 1000.0
     deadline_ms: Annotated[
-        float, _meta("Longest time to the answer's head; then 504 or 503.", gt=0, le=3600000)
+        float, described("Longest time to the answer's head; then 504 or 503.", gt=0, le=3600000)
     ] = 5000.0
     deadline_header: Annotated[
         str,
-        _meta(
+        described(
             "Header in which a client tells its own, shorter deadline in seconds; empty for none.",
             pattern=r"^[A-Za-z0-9-]{0,64}$",
         ),
     ] = ""
     worth: Annotated[
         float,
-        _meta(
+        described(
             "What an answer is worth beside those of other classes; dear ones are spared when a quota runs low.",
             gt=0,
             le=1000000,
@@ -191,7 +202,7 @@
     ] = 1.0
     late_worth: Annotated[
         float,
-        _meta(
+        described(
             "What is left of it after the aim, 0 to 1. Up to 0.3 attempts end at the aim, not at the deadline.",
             ge=0,
             le=1,
@@ -202,26 +213,28 @@
 class ServerTable(Table, frozen=True, kw_only=True):
     """`[[server]]`: a process that answers."""
 
-    name: Annotated[str, _meta("Its name.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-    address: Annotated[str, _meta("`HOST:PORT`, with a literal IP address; IPv6 in brackets.", min_length=1)]
-    weight: Annotated[float, _meta("Its size beside others of its pools.", gt=0, le=1000)] = 1.0
+    name: Annotated[str, described("Its name.", pattern=NAME)]
+    address: Annotated[
+        str, described("`HOST:PORT`, with a literal IP address; IPv6 in brackets.", min_length=1)
+    ]
+    weight: Annotated[float, described("Its size beside others of its pools.", gt=0, le=1000)] = 1.0
     zone: Annotated[
-        str, _meta("Where it stands; servers of one zone that fail together are left alone together.")
+        str, described("Where it stands; servers of one zone that fail together are left alone together.")
     ] = ""
-    drain: Annotated[bool, _meta("Nothing new is sent to it; what is out is finished.")] = False
+    drain: Annotated[bool, described("Nothing new is sent to it; what is out is finished.")] = False
     connections: Annotated[
-        int, _meta("Most connections to it, over all pools; 0 for no bound of its own.", ge=0, le=100000)
+        int, described("Most connections to it, over all pools; 0 for no bound of its own.", ge=0, le=100000)
     ] = 0
-    health: Annotated[bool, _meta("Whether `[health]` holds for it.")] = True
+    health: Annotated[bool, described("Whether `[health]` holds for it.")] = True
 
 
 class PoolTable(Table, frozen=True, kw_only=True):
     """`[[pool]]`: servers that can do the same."""
 
-    name: Annotated[str, _meta("Its name.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+    name: Annotated[str, described("Its name.", pattern=NAME)]
     servers: Annotated[
         tuple[str, ...],
-        _meta(
+        described(
             "Names of its servers. A server in several pools has one health, and one bound on connections."
         ),
     ]
@@ -230,85 +243,86 @@
 class Health(Table, frozen=True, kw_only=True):
     """`[health]`: active checks. Without this table there are none; failing attempts still count."""
 
-    path: Annotated[str, _meta("What is asked for with GET; 200 to 299 is good.", pattern=r"^/[!-~]*$")] = (
-        "/health"
-    )
-    every_ms: Annotated[float, _meta("Time between two checks of a server.", ge=50, le=3600000)] = 2000.0
-    timeout_ms: Annotated[float, _meta("No answer by then is a bad one.", ge=10, le=60000)] = 1000.0
-    rise: Annotated[int, _meta("Good ones in a row that bring a server back.", ge=1, le=100)] = 2
-    fall: Annotated[int, _meta("Bad ones in a row that take it out.", ge=1, le=100)] = 3
+    path: Annotated[
+        str, described("What is asked for with GET; 200 to 299 is good.", pattern=r"^/[!-~]*$")
+    ] = "/health"
+    every_ms: Annotated[float, described("Time between two checks of a server.", ge=50, le=3600000)] = 2000.0
+    timeout_ms: Annotated[float, described("No answer by then is a bad one.", ge=10, le=60000)] = 1000.0
+    rise: Annotated[int, described("Good ones in a row that bring a server back.", ge=1, le=100)] = 2
+    fall: Annotated[int, described("Bad ones in a row that take it out.", ge=1, le=100)] = 3
 
 
 class Upstream(Table, frozen=True, kw_only=True):
     """`[upstream]`: attempts and connections to servers."""
 
-    attempts: Annotated[int, _meta("Attempts for one request, one after the other.", ge=1, le=10)] = 3
-    connect_ms: Annotated[float, _meta("For a connection to come up.", ge=1, le=60000)] = 250.0
+    attempts: Annotated[int, described("Attempts for one request, one after the other.", ge=1, le=10)] = 3
+    connect_ms: Annotated[float, described("For a connection to come up.", ge=1, le=60000)] = 250.0
     idle_ms: Annotated[
         float,
-        _meta(
+        described(
             "A free connection is used again within this. It must be under the servers' own bound, or unsafe requests fail on connections that were ending.",
             ge=0,
             le=3600000,
         ),
     ] = 1000.0
     cold_ms: Annotated[
-        float, _meta("A server that has come up is given less for so long; 0 for none.", ge=0, le=3600000)
+        float, described("A server that has come up is given less for so long; 0 for none.", ge=0, le=3600000)
     ] = 0.0
     cold_from: Annotated[
-        float, _meta("Part of its size that it is sure to have when it comes up.", gt=0, le=1)
+        float, described("Part of its size that it is sure to have when it comes up.", gt=0, le=1)
     ] = 0.2
     retry_after_ms: Annotated[
-        float, _meta("Longest advice in Retry-After; 0 sends none.", ge=0, le=3600000)
+        float, described("Longest advice in Retry-After; 0 sends none.", ge=0, le=3600000)
     ] = 30000.0
 
 
 class RouteTable(Table, frozen=True, kw_only=True):
     """`[[route]]`: what holds for which requests."""
 
-    name: Annotated[str, _meta("Its name.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-    pool: Annotated[str, _meta("Name of its pool.", min_length=1)]
-    class_: Annotated[str, _meta("Name of its class.", min_length=1)] = msgspec.field(name="class")
-    hosts: Annotated[tuple[str, ...], _meta("Hosts, exact or `*.example.org`; none: any.")] = ()
-    path: Annotated[str, _meta("The whole path, in normal form.", pattern=r"^$|^/")] = ""
+    name: Annotated[str, described("Its name.", pattern=NAME)]
+    pool: Annotated[str, described("Name of its pool.", min_length=1)]
+    class_: Annotated[str, described("Name of its class.", min_length=1)] = msgspec.field(name="class")
+    hosts: Annotated[tuple[str, ...], described("Hosts, exact or `*.example.org`; none: any.")] = ()
+    path: Annotated[str, described("The whole path, in normal form.", pattern=r"^$|^/")] = ""
     prefix: Annotated[
-        str, _meta("`/a` stands for /a and all below; `/a/` for what is below.", pattern=r"^$|^/")
+        str, described("`/a` stands for /a and all below; `/a/` for what is below.", pattern=r"^$|^/")
     ] = ""
-    regex: Annotated[str, _meta("RE2 expression, found anywhere in the path unless anchored.")] = ""
-    methods: Annotated[tuple[str, ...], _meta("Methods; none: any.")] = ()
+    regex: Annotated[str, described("RE2 expression, found anywhere in the path unless anchored.")] = ""
+    methods: Annotated[tuple[str, ...], described("Methods; none: any.")] = ()
     headers: Annotated[
-        dict[str, str], _meta("Headers it must have: a value, `*` for any, `!` for none.")
+        dict[str, str], described("Headers it must have: a value, `*` for any, `!` for none.")
     ] = {}
     priority: Annotated[
-        int, _meta("The higher goes first; within one, see the order of matching.", ge=-1000000, le=1000000)
+        int,
+        described("The higher goes first; within one, see the order of matching.", ge=-1000000, le=1000000),
     ] = 0
-    units: Annotated[float, _meta("Units that a request takes from the quota.", gt=0, le=1000000)] = 1.0
+    units: Annotated[float, described("Units that a request takes from the quota.", gt=0, le=1000000)] = 1.0
     rewrite: Annotated[
         str,
-        _meta(
+        described(
             "The prefix is replaced by this path in what is sent on; only with `prefix`.", pattern=r"^$|^/"
         ),
     ] = ""
     set_headers: Annotated[
-        dict[str, str], _meta("Headers set on the request that goes on; they replace the client's.")
+        dict[str, str], described("Headers set on the request that goes on; they replace the client's.")
     ] = {}
-    drop_headers: Annotated[tuple[str, ...], _meta("Headers taken off the request that goes on.")] = ()
-    answer_headers: Annotated[dict[str, str], _meta("Headers set on the answer.")] = {}
+    drop_headers: Annotated[tuple[str, ...], described("Headers taken off the request that goes on.")] = ()
+    answer_headers: Annotated[dict[str, str], described("Headers set on the answer.")] = {}
     body_kb: Annotated[
         int,
-        _meta(
+        described(
             "Request bodies up to it are kept, so that the request can be repeated; longer ones are streamed once, and never repeated.",
             ge=0,
             le=1048576,
         ),
     ] = 64
-    body_max_kb: Annotated[int, _meta("Longer bodies get 413; 0 for no bound.", ge=0, le=1073741824)] = 0
+    body_max_kb: Annotated[int, described("Longer bodies get 413; 0 for no bound.", ge=0, le=1073741824)] = 0
 
 
 class File(Table, frozen=True, kw_only=True):
     """The whole file."""
 
-    listen: Annotated[str, _meta("`HOST:PORT` where clients connect.", min_length=1)]
+    listen: Annotated[str, described("`HOST:PORT` where clients connect.", min_length=1)]
     plan: tuple[PlanTable, ...]
     class_: tuple[ClassTable, ...] = msgspec.field(name="class")
     server: tuple[ServerTable, ...]
@@ -317,11 +331,11 @@
     account: tuple[AccountTable, ...] = ()
     accounts_file: Annotated[
         str,
-        _meta("Further accounts, one JSON object a line with name, plan and keys; relative to this file."),
+        described(
+            "Further accounts, one JSON object a line with name, plan and keys; relative to this file."
+        ),
     ] = ""
-    name: Annotated[
-        str, _meta("This limiter's name, in Via and logs.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
-    ] = "basaltpoint"
+    name: Annotated[str, described("This limiter's name, in Via and logs.", pattern=NAME)] = "basaltpoint"
     limits: Limits = Limits()
     clients: Clients = Clients()
     identity: IdentityTable = IdentityTable()
--- a/basaltpoint/fronts/http/message.py
+++ b/basaltpoint/fronts/http/message.py
@@ -7,7 +7,7 @@
 
 import re
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from basaltpoint.routing.path import PathError, normal_host, normal_path, split_target
@@ -171,7 +171,6 @@
 
     head: bytes
     method: bytes
-    parts: list[bytes] = field(default_factory=list)
 
     def with_body(self, body: bytes) -> bytes:
         """The whole message, its body in hand."""
--- a/basaltpoint/fronts/http/passage.py
+++ b/basaltpoint/fronts/http/passage.py
@@ -86,7 +86,7 @@
                 self._pump()
             elif self.size > self.route.body_bytes:
                 self.streamed = True
-                self._take()
+                self.relay.take(self)
                 self._pump()
 
     def fed(self, trailers: Headers) -> None:
@@ -94,7 +94,7 @@
         if self.streamed:
             self._pump()
         else:
-            self._take()
+            self.relay.take(self)
 
     def _turn_down(self, code: int, what: str) -> None:
         """Answer in the middle of the body; the connection ends behind it."""
@@ -108,9 +108,6 @@
         else:
             self.connection.answer(code, what, [])
 
-    def _take(self) -> None:
-        self.relay.take(self)
-
     def _pump(self) -> None:
         """Send on what there is of a streamed body, as far as the server takes it."""
         stream = self.stream
--- a/basaltpoint/fronts/shell.py
+++ b/basaltpoint/fronts/shell.py
@@ -7,9 +7,9 @@
 from collections import deque
 
 from basaltpoint.core.table import Effect, Table
+from basaltpoint.upstream.servers import TIMER_S
 
 EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
-TIMER_S = 0.001  # the loop counts whole milliseconds; called before its time, the table would do nothing
 
 
 class Shell:
--- a/basaltpoint/load/scenario.py
+++ b/basaltpoint/load/scenario.py
@@ -4,13 +4,13 @@
 
 from enum import Enum
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
-from msgspec import Meta
 
 from basaltpoint.config.address import ConfigError, parse_address
 from basaltpoint.config.decode import Collector, FileError, decode, read_toml, shown
+from basaltpoint.config.schema import NAME, described
 
 
 class Process(Enum):
@@ -45,37 +45,35 @@
     RUNAWAY = "runaway"  # one account asks `rate` a second besides
 
 
-def _meta(text: str, **bounds: Any) -> Meta:
-    return Meta(description=text, **bounds)
-
-
-Name = Annotated[str, _meta("Its name.", pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Name = Annotated[str, described("Its name.", pattern=NAME)]
 
 
 class Retries(msgspec.Struct, frozen=True, kw_only=True):
     """`[retries]`: what a client does after a refusal, a failure or no answer."""
 
-    most: Annotated[int, _meta("Further tries of one request.", ge=0, le=100)] = 0
-    backoff: Annotated[Backoff, _meta("At once, after the same wait, or after one that doubles.")] = (
+    most: Annotated[int, described("Further tries of one request.", ge=0, le=100)] = 0
+    backoff: Annotated[Backoff, described("At once, after the same wait, or after one that doubles.")] = (
         Backoff.FIXED
     )
     wait_ms: Annotated[
-        float, _meta("The first wait; each is drawn from half of it to all of it.", ge=0, le=3600000)
+        float, described("The first wait; each is drawn from half of it to all of it.", ge=0, le=3600000)
     ] = 100.0
-    honour: Annotated[float, _meta("Part of the clients that wait as Retry-After says.", ge=0, le=1)] = 1.0
+    honour: Annotated[float, described("Part of the clients that wait as Retry-After says.", ge=0, le=1)] = (
+        1.0
+    )
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """`[health]`: from where on the generator's own numbers don't count."""
 
-    late_ms: Annotated[float, _meta("A send later than this is the generator's delay.", gt=0, le=60000)] = (
-        20.0
-    )
+    late_ms: Annotated[
+        float, described("A send later than this is the generator's delay.", gt=0, le=60000)
+    ] = 20.0
     stall_ms: Annotated[
-        float, _meta("So long without a turn of the loop is a spell of starvation.", gt=0, le=60000)
+        float, described("So long without a turn of the loop is a spell of starvation.", gt=0, le=60000)
     ] = 50.0
     steal: Annotated[
-        float, _meta("Part of the machine's time that others may take within a second.", gt=0, le=1)
+        float, described("Part of the machine's time that others may take within a second.", gt=0, le=1)
     ] = 0.1
 
 
@@ -83,45 +81,50 @@
     """`[[plan]]`: a group of accounts that ask alike."""
 
     name: Name
-    accounts: Annotated[int, _meta("How many.", ge=1, le=10000000)]
-    rate: Annotated[float, _meta("Requests a second of all of them together.", gt=0, le=1000000)]
+    accounts: Annotated[int, described("How many.", ge=1, le=10000000)]
+    rate: Annotated[float, described("Requests a second of all of them together.", gt=0, le=1000000)]
     skew: Annotated[
         float,
-        _meta("Zipf's exponent: 0 for accounts alike, 1 where the n-th asks 1/n of the first.", ge=0, le=5),
+        described(
+            "Zipf's exponent: 0 for accounts alike, 1 where the n-th asks 1/n of the first.", ge=0, le=5
+        ),
     ] = 0.0
-    key: Annotated[str, _meta("An account's key; {n} is its number within the plan.", min_length=1)] = (
+    key: Annotated[str, described("An account's key; {n} is its number within the plan.", min_length=1)] = (
         "{plan}-{n}"
     )
-    spread: Annotated[int, _meta("Limiters that an account comes through (platform form).", ge=1, le=64)] = 1
+    spread: Annotated[
+        int, described("Limiters that an account comes through (platform form).", ge=1, le=64)
+    ] = 1
 
 
 class ClassTable(msgspec.Struct, frozen=True, kw_only=True):
     """`[[class]]`: a kind of request."""
 
     name: Name
-    share: Annotated[float, _meta("Of the requests, beside the other classes' shares.", gt=0, le=1000000)] = (
-        1.0
-    )
-    method: Annotated[str, _meta("Its method.", pattern=r"^[A-Z]{1,20}$")] = "GET"
-    path: Annotated[str, _meta("Its path; {n} is the request's number.", pattern=r"^/")] = "/"
-    body_bytes: Annotated[int, _meta("Length of its body.", ge=0, le=67108864)] = 0
+    share: Annotated[
+        float, described("Of the requests, beside the other classes' shares.", gt=0, le=1000000)
+    ] = 1.0
+    method: Annotated[str, described("Its method.", pattern=r"^[A-Z]{1,20}$")] = "GET"
+    path: Annotated[str, described("Its path; {n} is the request's number.", pattern=r"^/")] = "/"
+    body_bytes: Annotated[int, described("Length of its body.", ge=0, le=67108864)] = 0
     key_header: Annotated[
         str,
-        _meta(
+        described(
             "Header with a key of its own for each request, the same for its retries; empty for none.",
             pattern=r"^[A-Za-z0-9-]{0,64}$",
         ),
     ] = ""
     aim_ms: Annotated[
-        float, _meta("An answer is in time up to this, counted from the intended start.", gt=0, le=3600000)
+        float,
+        described("An answer is in time up to this, counted from the intended start.", gt=0, le=3600000),
     ] = 1000.0
     timeout_ms: Annotated[
-        float, _meta("A try is given up after this, counted from its intended start.", gt=0, le=3600000)
+        float, described("A try is given up after this, counted from its intended start.", gt=0, le=3600000)
     ] = 10000.0
-    units: Annotated[int, _meta("Units that it takes (platform form).", ge=1, le=1000000)] = 1
+    units: Annotated[int, described("Units that it takes (platform form).", ge=1, le=1000000)] = 1
     once: Annotated[
         bool,
-        _meta(
+        described(
             "It must never run twice; the ledger looks for that, and no client repeats one that may have run."
         ),
     ] = False
@@ -130,14 +133,16 @@
 class ShapeTable(msgspec.Struct, frozen=True, kw_only=True):
     """`[[shape]]`: a change of the rate; shapes at one time multiply."""
 
-    kind: Annotated[Kind, _meta("What kind.")]
-    from_s: Annotated[float, _meta("Its start.", ge=0, le=1000000)] = 0.0
-    to_s: Annotated[float, _meta("Its end; 0: that of the run.", ge=0, le=1000000)] = 0.0
-    factor: Annotated[float, _meta("Times the rate.", ge=0, le=100000)] = 1.0
-    period_s: Annotated[float, _meta("Of a sine.", gt=0, le=1000000)] = 10.0
-    plan: Annotated[str, _meta("Only this plan; needed for surge and runaway.")] = ""
-    account: Annotated[int, _meta("Number of the account that runs away.", ge=0, le=10000000)] = 0
-    rate: Annotated[float, _meta("Requests a second of the account that runs away.", ge=0, le=1000000)] = 0.0
+    kind: Annotated[Kind, described("What kind.")]
+    from_s: Annotated[float, described("Its start.", ge=0, le=1000000)] = 0.0
+    to_s: Annotated[float, described("Its end; 0: that of the run.", ge=0, le=1000000)] = 0.0
+    factor: Annotated[float, described("Times the rate.", ge=0, le=100000)] = 1.0
+    period_s: Annotated[float, described("Of a sine.", gt=0, le=1000000)] = 10.0
+    plan: Annotated[str, described("Only this plan; needed for surge and runaway.")] = ""
+    account: Annotated[int, described("Number of the account that runs away.", ge=0, le=10000000)] = 0
+    rate: Annotated[
+        float, described("Requests a second of the account that runs away.", ge=0, le=1000000)
+    ] = 0.0
 
 
 class Scenario(msgspec.Struct, frozen=True, kw_only=True):
@@ -145,7 +150,7 @@
 
     target: Annotated[
         tuple[str, ...],
-        _meta(
+        described(
             "`IP:PORT` of each limiter; requests take them in turn, an account of the platform's form keeps to its set."
         ),
     ]
@@ -153,31 +158,33 @@
     class_: tuple[ClassTable, ...] = msgspec.field(name="class")
     shape: tuple[ShapeTable, ...] = ()
     seed: Annotated[
-        int, _meta("Of all chance; the same seed asks the same.", ge=0, le=9223372036854775807)
+        int, described("Of all chance; the same seed asks the same.", ge=0, le=9223372036854775807)
     ] = 1
-    duration_s: Annotated[float, _meta("Arrivals come for so long.", gt=0, le=1000000)] = 10.0
-    arrivals: Annotated[Process, _meta("How they lie in time.")] = Process.POISSON
-    form: Annotated[Form, _meta("How requests are worded.")] = Form.PLAIN
+    duration_s: Annotated[float, described("Arrivals come for so long.", gt=0, le=1000000)] = 10.0
+    arrivals: Annotated[Process, described("How they lie in time.")] = Process.POISSON
+    form: Annotated[Form, described("How requests are worded.")] = Form.PLAIN
     key_header: Annotated[
-        str, _meta("Header that brings an account's key (plain form).", pattern=r"^[A-Za-z0-9-]{1,64}$")
+        str, described("Header that brings an account's key (plain form).", pattern=r"^[A-Za-z0-9-]{1,64}$")
     ] = "X-Api-Key"
     id_header: Annotated[
         str,
-        _meta(
+        described(
             "Header that brings the id of a try, for the ledger (plain form).",
             pattern=r"^[A-Za-z0-9-]{1,64}$",
         ),
     ] = "X-Load-Id"
     processes: Annotated[
-        int, _meta("Processes that share the load; together they ask what one would.", ge=1, le=256)
+        int, described("Processes that share the load; together they ask what one would.", ge=1, le=256)
     ] = 1
     connections: Annotated[
         int,
-        _meta("Most connections of each process; without a free one an arrival is missed.", ge=1, le=1000000),
+        described(
+            "Most connections of each process; without a free one an arrival is missed.", ge=1, le=1000000
+        ),
     ] = 2000
     in_flight: Annotated[
         int,
-        _meta(
+        described(
             "Most tries of each process without an answer; beyond, arrivals are missed.", ge=1, le=10000000
         ),
     ] = 100000
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger(__name__)
 
-TIMER_S = 0.001  # the loop counts whole milliseconds; an attempt must not end before its time
+TIMER_S = 0.001  # the loop counts whole milliseconds; nothing may be called before its time
 
 
 @dataclass(frozen=True, slots=True)
