Store: consensus core, durable log and state machine, under a deterministic simulation

Need: a limiter that restarts knows nothing of drains, configuration and what accounts had drawn. The first part of a replicated store of its own.

An old disk put back is told by its own stamp or by what the others know, and gives no vote until it holds again what it may have promised. The tests bring a simulator that drives the same node under lost, doubled and reordered messages, cuts in one direction, sleeps, crashes at every point of a write, lost unsynced bytes and wrong clocks; a linearizability checker; stories of the single failures.

Found on the way: a leader that commits its own removal went on sending; a disk put back was doubted again at every message.

--- /dev/null
+++ b/basaltpoint/store/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated store: consensus, log on disk, keys and values, transport, client."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -21,6 +21,7 @@
     ("importers", "load", "verify", "standins"),
     ("upstream",),
     ("membership",),
+    ("store", "counter"),
     ("core",),
     ("config",),
     ("routing",),
--- /dev/null
+++ b/tests/test_linear.py
@@ -0,0 +1,87 @@
+"""The checker itself: it must find what is planted, and nothing else."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from linear import Op, violations
+
+
+def op(kind: str, value: str | None, began: float, ended: float, **more: object) -> Op:
+    return Op("k", kind, value, began, ended, **more)  # type: ignore[arg-type]
+
+
+def history(rng: random.Random, count: int = 60) -> list[Op]:
+    """Concurrent operations that did have an order: each takes effect at a moment within its time."""
+    made, state = [], None
+    moment = 0.0
+    for at in range(count):
+        moment += rng.random()
+        began, ended = moment - rng.random() * 3, moment + rng.random() * 3
+        kind = rng.choice(("read", "write", "swap"))
+        if kind == "read":
+            made.append(op("read", state, began, ended))
+        elif kind == "write":
+            state = f"v{at}"
+            made.append(op("write", state, began, ended))
+        else:
+            old = rng.choice((state, "other"))
+            good = old == state
+            state = f"v{at}" if good else state
+            made.append(op("swap", f"v{at}", began, ended, old=old, good=good))
+    return made
+
+
+def test_histories_with_an_order_are_accepted() -> None:
+    for seed in range(200):
+        assert not violations(history(random.Random(seed)))
+
+
+def test_a_stale_read_is_found() -> None:
+    assert violations([op("write", "1", 0, 1), op("write", "2", 2, 3), op("read", "1", 4, 5)]) == ["k"]
+
+
+def test_a_lost_write_is_found() -> None:
+    assert violations([op("write", "1", 0, 1), op("read", None, 2, 3)]) == ["k"]
+
+
+def test_a_read_of_what_was_never_written_is_found() -> None:
+    assert violations([op("write", "1", 0, 1), op("read", "9", 0, 9)]) == ["k"]
+
+
+def test_two_swaps_of_one_value_are_found() -> None:
+    ops = [op("write", "1", 0, 1)]
+    ops += [op("swap", f"{at}", 2, 5, old="1", good=True) for at in (2, 3)]
+    assert violations(ops) == ["k"]
+
+
+def test_a_value_that_comes_back_after_a_repeat_is_found() -> None:
+    """What a command applied twice looks like."""
+    ops = [op("write", "1", 0, 10), op("read", "1", 1, 2), op("write", "2", 3, 4), op("read", "2", 5, 6)]
+    assert not violations(ops)
+    assert violations([*ops, op("read", "1", 7, 8)]) == ["k"]
+
+
+def test_an_unanswered_write_may_have_taken_effect_or_not() -> None:
+    lost = op("write", "1", 0, math.inf)
+    assert not violations([lost, op("read", None, 1, 2), op("read", "1", 3, 4)])
+    assert not violations([lost, op("read", None, 1, 2)])
+    assert violations([lost, op("read", "1", 1, 2), op("read", None, 3, 4)]) == ["k"]
+
+
+def test_each_planted_fault_in_a_long_history_is_found() -> None:
+    found = 0
+    for seed in range(100):
+        rng = random.Random(seed)
+        ops = history(rng)
+        at = rng.choice([at for at, each in enumerate(ops) if each.kind == "read" and at > 10])
+        writes = [
+            each.value for each in ops[: at - 8] if each.kind == "write" and each.value != ops[at].value
+        ]
+        if not writes:
+            continue
+        stale = ops[at]
+        ops[at] = op("read", writes[0], stale.began, stale.ended)
+        found += bool(violations(ops))
+    assert found > 80
--- /dev/null
+++ b/tests/test_store_disk.py
@@ -0,0 +1,239 @@
+"""The log on the disk: what a crash leaves is read again; what it can't have left stops the replica."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+from storesim import Crash, SimFiles
+
+from basaltpoint.store import disk as disks
+from basaltpoint.store.disk import DamageError, Disk
+from basaltpoint.store.files import Folder
+from basaltpoint.store.log import Log
+from basaltpoint.store.messages import Entry, Hard, Kind, Member, Members, Snapshot
+
+MEMBERS = Members((Member("a", "h:1"),))
+
+
+def entry(index: int, term: int = 1, data: bytes | None = None) -> Entry:
+    return Entry(term, index, Kind.COMMAND, b"%d" % index if data is None else data)
+
+
+def rows(log: Log) -> list[tuple[int, int]]:
+    return [(each.index, each.term) for each in log.entries]
+
+
+def shoot(disk: Disk, index: int, term: int = 1, data: bytes = b"state", base: int = 0) -> Snapshot:
+    snapshot = Snapshot(index, term, MEMBERS, data)
+    for _ in disk.snapshot(snapshot, base):
+        pass
+    return snapshot
+
+
+def test_what_was_written_is_read_again(tmp_path: Path) -> None:
+    disk = Disk(Folder(tmp_path))
+    disk.write((entry(1), entry(2)), Hard(1, "a"))
+    disk.write((entry(3, 2),), Hard(2, "b"))
+    again = Disk(Folder(tmp_path))
+    assert rows(again.log) == [(1, 1), (2, 1), (3, 2)] and again.hard == Hard(2, "b")
+    assert again.log.entries[0].data == b"1"
+
+
+def test_an_entry_replaces_all_from_its_index_on(tmp_path: Path) -> None:
+    disk = Disk(Folder(tmp_path))
+    disk.write(tuple(entry(at) for at in range(1, 6)), None)
+    disk.write((entry(3, 2),), None)
+    assert rows(Disk(Folder(tmp_path)).log) == [(1, 1), (2, 1), (3, 2)]
+
+
+@pytest.mark.parametrize("left", [1, 10, 25, 30])
+def test_a_torn_tail_is_cut_and_writing_goes_on(tmp_path: Path, left: int) -> None:
+    disk = Disk(Folder(tmp_path))
+    disk.write((entry(1),), Hard(1, "a"))
+    name = tmp_path / "log-00000000000000000001.seg"
+    whole = name.stat().st_size
+    disk.write((entry(2),), None)
+    name.write_bytes(name.read_bytes()[: whole + left])
+    again = Disk(Folder(tmp_path))
+    assert rows(again.log) == [(1, 1)] and again.cut == left and again.hard == Hard(1, "a")
+    again.write((entry(2, 2),), None)
+    assert rows(Disk(Folder(tmp_path)).log) == [(1, 1), (2, 2)]
+
+
+def test_each_flipped_bit_before_the_last_write_stops_the_replica(tmp_path: Path) -> None:
+    disk = Disk(Folder(tmp_path))
+    disk.write((entry(1),), Hard(1, "a"))
+    name = tmp_path / "log-00000000000000000001.seg"
+    sound_until = name.stat().st_size
+    disk.write((entry(2),), None)
+    raw = name.read_bytes()
+    for at in range(sound_until):
+        name.write_bytes(raw[:at] + bytes([raw[at] ^ 4]) + raw[at + 1 :])
+        with pytest.raises(DamageError, match=r"log-0+1\.seg: damage at byte \d+.*store remove"):
+            Disk(Folder(tmp_path))
+        assert name.stat().st_size == len(raw), "nothing may be cut from what can't be trusted"
+
+
+def test_damage_in_an_earlier_segment_stops_the_replica(tmp_path: Path) -> None:
+    disk = Disk(Folder(tmp_path))
+    disk.write(tuple(entry(at) for at in range(1, 9)), Hard(1, "a"))
+    shoot(disk, 4)
+    name = tmp_path / "log-00000000000000000001.seg"
+    name.write_bytes(name.read_bytes()[:-1])  # even its tail: what follows was written later
+    with pytest.raises(DamageError):
+        Disk(Folder(tmp_path))
+
+
+def test_a_damaged_snapshot_stops_the_replica(tmp_path: Path) -> None:
+    disk = Disk(Folder(tmp_path))
+    disk.write((entry(1),), None)
+    shoot(disk, 1)
+    name = next(tmp_path.glob("snap-*.snap"))
+    raw = name.read_bytes()
+    for broken in (raw[:-1], raw + b"x", b"", raw[:20] + bytes([raw[20] ^ 1]) + raw[21:]):
+        name.write_bytes(broken)
+        with pytest.raises(DamageError, match="the snapshot is not whole"):
+            Disk(Folder(tmp_path))
+
+
+def test_a_snapshot_lets_entries_before_the_last_one_go(tmp_path: Path) -> None:
+    disk = Disk(Folder(tmp_path))
+    base = 0
+    for at in range(1, 101):
+        disk.write((entry(at),), None)
+        if at % 10 == 0:
+            shoot(disk, at - 2, base=base, data=b"%d" % at)
+            base = at - 2
+    again = Disk(Folder(tmp_path))
+    assert again.log.snapshot.index == 98 and again.log.snapshot.data == b"100"
+    assert again.log.base <= 88 and again.log.last == 100
+    assert len(list(tmp_path.iterdir())) <= 5
+
+
+def test_a_leaders_snapshot_replaces_all(tmp_path: Path) -> None:
+    disk = Disk(Folder(tmp_path))
+    disk.write((entry(1), entry(2)), Hard(1, "a"))
+    disk.install(Snapshot(50, 3, MEMBERS, b"x"))
+    disk.write((entry(51, 3),), None)
+    again = Disk(Folder(tmp_path))
+    assert rows(again.log) == [(51, 3)] and again.log.snapshot.index == 50 and again.hard == Hard(1, "a")
+
+
+# --- Every crash point -------------------------------------------------------------------------------
+class Story:
+    """Writes, snapshots and an install; it remembers what was promised and what was begun."""
+
+    def __init__(self, files: SimFiles, crash_at: int) -> None:
+        self.files, self.left, self.names = files, crash_at, list[str]()
+        self.promised: list[Entry] = []
+        self.begun: list[Entry] = []
+        self.hard = self.hard_begun = Hard()
+        self.shot = 0
+        self.installed = False
+
+    def point(self, name: str) -> None:
+        self.names.append(name)
+        self.left -= 1
+        if self.left == 0:
+            raise Crash
+
+    def write(self, disk: Disk, *entries: Entry, hard: Hard | None = None) -> None:
+        first = entries[0].index if entries else 10**9
+        self.begun = [each for each in self.promised if each.index < first] + list(entries)
+        self.hard_begun = hard or self.hard
+        disk.write(entries, hard)
+        self.promised, self.hard = self.begun, self.hard_begun
+
+    def play(self) -> None:
+        disk = Disk(self.files, self.point)
+        self.write(disk, entry(1), entry(2), hard=Hard(1, "a"))
+        self.write(disk, entry(3))
+        shoot(disk, 2)
+        self.shot = 2
+        self.write(disk, entry(4), entry(5), hard=Hard(2, ""))
+        self.write(disk, entry(4, 2))
+        shoot(disk, 4, 2, b"s" * (disks.SLICE + 10), base=2)
+        self.shot = 4
+        self.write(disk, entry(5, 2), hard=Hard(3, "b"))
+        self.installing = True
+        disk.install(Snapshot(20, 3, MEMBERS, b"leader's"))
+        self.installed = True
+        self.write(disk, entry(21, 3))
+
+
+def test_every_crash_point_leaves_what_was_promised() -> None:
+    """Each point is tried with several fates of what was not synced."""
+    count, tried = 1, set[str]()
+    while True:
+        for fate in range(12):
+            story = Story(SimFiles(), count)
+            try:
+                story.play()
+            except Crash:
+                pass
+            else:
+                needed = {
+                    "write.torn",
+                    "write.unsynced",
+                    "snapshot.written",
+                    "snapshot.renamed",
+                    "roll.named",
+                }
+                assert needed | {"install.renamed", "install.rolled", "forget.removed"} <= tried
+                return
+            tried.add(story.names[-1])
+            story.files.lose(random.Random(fate))
+            again = Disk(story.files)
+            where = f"{story.names[-1]}, point {count}, fate {fate}"
+            assert again.hard in (story.hard, story.hard_begun), where
+            log = again.log
+            assert log.snapshot.index >= story.shot, where
+            if story.installed or log.snapshot.index == 20:
+                assert log.snapshot.data == b"leader's", where
+                assert log.last >= 20 + (21 in [e.index for e in story.promised]), where
+                continue
+            held = {each.index: each for each in log.entries}
+            wanted = [each for each in story.promised if each.index > log.base]
+            good = all(held.get(each.index) == each for each in wanted)
+            replaced = [each for each in story.begun if each.index > log.base]
+            assert good or [held.get(each.index) for each in replaced] == replaced, where
+            # And it can be written to, and read once more.
+            last = log.last + 1
+            again.write((entry(last, 9),), Hard(9, "z"))
+            final = Disk(story.files)
+            assert final.log.last == last and final.hard == Hard(9, "z"), where
+        count += 1
+
+
+def test_an_end_between_a_leaders_snapshot_and_its_segment_is_taken_up() -> None:
+    files = SimFiles()
+    left = 0
+
+    def point(name: str) -> None:
+        if left and name == "install.named":
+            raise Crash
+
+    disk = Disk(files, point)
+    disk.write((entry(1),), Hard(1, "a"))
+    left = 1
+    with pytest.raises(Crash):
+        disk.install(Snapshot(20, 3, MEMBERS, b"x"))
+    again = Disk(files)
+    assert again.log.last == 20 and again.hard == Hard(1, "a")
+    again.write((entry(21, 3),), None)
+    assert rows(Disk(files).log) == [(21, 3)]
+
+
+def test_a_full_disk_is_told_and_loses_nothing() -> None:
+    files = SimFiles()
+    disk = Disk(files)
+    disk.write((entry(1),), Hard(1, "a"))
+    files.fails = True
+    with pytest.raises(OSError, match="No space left"):
+        disk.write((entry(2),), Hard(2, "a"))
+    files.fails = False
+    files.lose(random.Random(1))
+    again = Disk(files)
+    assert rows(again.log)[:1] == [(1, 1)]
