--- a/basaltpoint/cli.py
+++ b/basaltpoint/cli.py
@@ -60,6 +60,18 @@
     return run(args)
 
 
+def _store(args: argparse.Namespace) -> int:
+    from basaltpoint.store.command import run
+
+    return run(args)
+
+
+def _config(args: argparse.Namespace) -> int:
+    from basaltpoint.daemon.document import run
+
+    return run(args)
+
+
 def parser(argv: list[str]) -> argparse.ArgumentParser:
     """All commands and their arguments."""
     top = argparse.ArgumentParser(
@@ -82,6 +94,14 @@
     load.set_defaults(run=_load)
     standin = commands.add_parser("standin", help="a stand-in server of stated behaviour")
     standin.set_defaults(run=_standin)
+    store = commands.add_parser("store", help="the replicated store: run, status, members, backup, keys")
+    store.set_defaults(run=_store)
+    drain = commands.add_parser("drain", help="have all limiters of a store send nothing new to a server")
+    drain.set_defaults(run=_store)
+    undrain = commands.add_parser("undrain", help="end that")
+    undrain.set_defaults(run=_store)
+    document = commands.add_parser("config", help="the configuration that all limiters of a store share")
+    document.set_defaults(run=_config)
     # Their arguments are theirs to add, and their libraries are loaded only where they run.
     if argv[:1] == ["load"]:
         from basaltpoint.load.command import add_arguments as add_load
@@ -91,6 +111,18 @@
         from basaltpoint.standins.command import add_arguments as add_standin
 
         add_standin(standin)
+    elif argv[:1] == ["store"]:
+        from basaltpoint.store.command import add_arguments as add_store
+
+        add_store(store)
+    elif argv[:1] == ["config"]:
+        from basaltpoint.daemon.document import add_arguments as add_config
+
+        add_config(document)
+    elif argv[:1] in (["drain"], ["undrain"]):
+        from basaltpoint.store.command import add_drain_arguments
+
+        add_drain_arguments(drain if argv[0] == "drain" else undrain, argv[0] == "drain")
     return top
 
 
--- a/basaltpoint/config/build.py
+++ b/basaltpoint/config/build.py
@@ -9,15 +9,17 @@
 import ipaddress
 import json
 import re
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 from basaltpoint import interface as api
+from basaltpoint.config import storage
 from basaltpoint.config.address import Address, ConfigError, parse_address
 from basaltpoint.config.decode import Collector, FileError, decode, read_toml, shown
 from basaltpoint.config.schema import AccountTable, ClassTable, File, KeyMissing, RouteTable, ServerTable
+from basaltpoint.config.shared import Shared
 from basaltpoint.interface import Effect
 from basaltpoint.routing import regex
 from basaltpoint.routing.accounts import Account, Accounts, Identity, Missing, Networks
@@ -62,6 +64,12 @@
     pools: dict[str, int]
     trusted: Networks
 
+    def drained(self, names: Collection[str]) -> Setup:
+        """The same with other drains: those of the file, and of these servers."""
+        rows = {row.name: row.drain for row in self.file.server}
+        servers = (replace(spec, drain=rows[spec.name] or spec.name in names) for spec in self.servers)
+        return replace(self, servers=tuple(servers))
+
 
 @dataclass(slots=True)
 class Numbers:
@@ -80,14 +88,20 @@
         return Numbers(dict(self.given), dict(self.counts))
 
 
-def load(path: Path, numbers: Numbers | None = None) -> Setup:
+def load(path: Path, numbers: Numbers | None = None, shared: Shared | None = None) -> Setup:
     """Read, check and build; FileError with every problem found.
 
-    `numbers` is changed only where all is right.
+    `numbers` is changed only where all is right. `shared` is what the store holds in the place of the file's
+    own tables.
     """
     out = Collector(str(path))
     raw = read_toml(path, out)
     out.check()
+    return assemble(raw if shared is None else shared.over(raw), path, out, numbers)
+
+
+def assemble(raw: dict[str, Any], path: Path, out: Collector, numbers: Numbers | None = None) -> Setup:
+    """Check and build what was read; FileError with every problem found."""
     file = decode(File, raw, out)
     if file is None:
         raise FileError(out.problems)
@@ -117,6 +131,8 @@
         servers = self._servers()
         routes, pools = self._routes(handlings)
         accounts, trusted = self._accounts(), self._trusted()
+        if self.file.store:
+            storage.check(self.file.store, self.path.parent, self.out)
         if self.out.problems:
             raise FileError(self.out.problems)
         return Setup(
--- a/basaltpoint/config/schema.py
+++ b/basaltpoint/config/schema.py
@@ -319,6 +319,108 @@
     body_max_kb: Annotated[int, described("Longer bodies get 413; 0 for no bound.", ge=0, le=1073741824)] = 0
 
 
+class Start(Enum):
+    """What a start without the store does."""
+
+    WAIT = "wait"
+    CACHED = "cached"
+
+
+MEMBER = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}@\S+:[0-9]+$"
+
+
+class StoreTable(Table, frozen=True, kw_only=True):
+    """`[store]`: the replicated store. With it, plans, routes, servers and all else but this limiter's own tables are held there."""
+
+    cluster: Annotated[
+        str, described("Name of the cluster; one with another name gets nothing.", pattern=NAME)
+    ] = "local"
+    name: Annotated[
+        str,
+        described(
+            "The replica that this process runs; it never comes again after a disk was lost. Empty: none, the members are asked.",
+            pattern=r"^$|" + NAME,
+        ),
+    ] = "local"
+    dir: Annotated[
+        str,
+        described(
+            "Folder of the replica, and of the copy for a start without the store; relative to this file."
+        ),
+    ] = "store"
+    listen: Annotated[
+        str,
+        described(
+            "`HOST:PORT` for other replicas and clients; empty: this host alone, over a socket in the folder."
+        ),
+    ] = ""
+    advertise: Annotated[
+        str, described("`HOST:PORT` at which the others reach it, where that is not `listen`.")
+    ] = ""
+    members: Annotated[
+        tuple[Annotated[str, Meta(pattern=MEMBER)], ...],
+        described(
+            "The replicas, each `NAME@HOST:PORT`. Of a new cluster they are the first ones; later `basaltpoint store members` tells who they are."
+        ),
+    ] = ()
+    join: Annotated[
+        bool, described("This replica is added to a cluster that is there (`basaltpoint store add`).")
+    ] = False
+    cert: Annotated[
+        str,
+        described(
+            "Certificate (PEM) that holds the replica's name as a DNS name; needed with `listen` or for members elsewhere."
+        ),
+    ] = ""
+    key: Annotated[str, described("Its private key (PEM).")] = ""
+    authority: Annotated[str, described("Certificate (PEM) of the authority that signs all of them.")] = ""
+    election_ms: Annotated[
+        float,
+        described(
+            "A leader not heard for so long, up to twice, is replaced. Too small: needless elections under load; too large: longer without writes.",
+            ge=50,
+            le=60000,
+        ),
+    ] = 300.0
+    heartbeat_ms: Annotated[
+        float,
+        described(
+            "Time between two signs of life of a leader; a third of `election_ms` at most.", ge=5, le=20000
+        ),
+    ] = 50.0
+    state_mb: Annotated[
+        int,
+        described(
+            "Keys and values held at most; the replica takes some four times as much memory.", ge=1, le=4096
+        ),
+    ] = 64
+    snapshot_entries: Annotated[
+        int,
+        described(
+            "Entries of the log after which it is compacted; all of them are read at a start.",
+            ge=10,
+            le=10000000,
+        ),
+    ] = 20000
+    start: Annotated[
+        Start,
+        described(
+            "A start without the store waits for it, or serves on from the copy of what was held last."
+        ),
+    ] = Start.WAIT
+    start_s: Annotated[
+        float,
+        described("How long a start tries to reach the store before `cached` takes the copy.", gt=0, le=3600),
+    ] = 5.0
+    balances_s: Annotated[
+        float, described("Time between two writes of accounts' balances; 0 writes none.", ge=0, le=3600)
+    ] = 1.0
+    learned_s: Annotated[
+        float,
+        described("Age up to which learned latencies are taken up at a start; 0 takes none.", ge=0, le=86400),
+    ] = 600.0
+
+
 class File(Table, frozen=True, kw_only=True):
     """The whole file."""
 
@@ -341,3 +443,4 @@
     identity: IdentityTable = IdentityTable()
     health: Health | None = None
     upstream: Upstream = Upstream()
+    store: StoreTable | None = None
--- /dev/null
+++ b/basaltpoint/daemon/balances.py
@@ -0,0 +1,85 @@
+"""What accounts have left, for the next life of this limiter. Free of I/O.
+
+A ceiling must not be passed, so it starts from what is sure: after an orderly end from what was left, after a
+kill as empty at the last sign of life; in both cases with what has filled since. A quota starts from what was
+written last: what was drawn in the moments before a kill is forgiven; without the store the whole burst was.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from basaltpoint import interface as api
+
+STEP = 0.1  # of a burst; smaller changes are not written
+BUDGET = 200  # balances in one write: one transaction, at a bounded rate
+ALIVE_S = 1.0  # between two signs of life lies less, unless the process stood still and drew nothing
+
+
+class Balance(msgspec.Struct, frozen=True, array_like=True):
+    """What one account had left, and when."""
+
+    left: float
+    ceiling: float
+    at_ms: float  # Unix time
+    final: bool  # nothing was drawn afterwards
+
+
+class Balances:
+    """Which balances are to be written."""
+
+    def __init__(self) -> None:
+        self._written: dict[int, float] = {}
+        self._open: dict[int, None] = {}  # asked for since, the longest ago first
+
+    def due(self, asked: Iterable[int], standings: dict[int, api.Standing]) -> list[int]:
+        """Of accounts that have asked, and those left over, as many as may be written now."""
+        for account in asked:
+            self._open[account] = None
+        found: list[int] = []
+        for account in list(self._open):
+            if len(found) >= BUDGET:
+                break
+            del self._open[account]
+            standing = standings.get(account)
+            if (
+                standing
+                and abs(self._written.get(account, standing.burst) - standing.left) >= STEP * standing.burst
+            ):
+                self._written[account] = standing.left
+                found.append(account)
+        return found
+
+    def waiting(self) -> list[int]:
+        return list(self._open)
+
+    def forget(self) -> None:
+        """What was written may be gone: the lease has ended."""
+        self._written.clear()
+
+
+def recall(customer: int, plan: api.Plan, held: Balance, now_ms: float, down_s: float) -> api.Recall:
+    """Where an account goes on. `down_s`: for how long nothing was drawn, at least."""
+    passed = max(0.0, now_ms - held.at_ms) / 1000.0
+    left = min(plan.burst, held.left + plan.rate * passed)
+    ceiling = (
+        held.ceiling + plan.ceiling_rate * min(passed, down_s) if held.final else plan.ceiling_rate * down_s
+    )
+    return api.Recall(customer, left, min(plan.ceiling_depth, ceiling))
+
+
+class SignOfLife(msgspec.Struct, frozen=True):
+    """Kept in a file of the host: by its clock since the boot, which no setting of the time moves."""
+
+    boot: str
+    at_s: float
+
+
+def down(sign: SignOfLife | None, boot: str, now_s: float) -> float:
+    """For how many seconds the last life has been over, at least; 0 where nothing is known."""
+    if sign is None:
+        return 0.0
+    since = now_s - sign.at_s if sign.boot == boot else now_s  # it ended before this boot
+    return max(0.0, since - ALIVE_S)
--- /dev/null
+++ b/basaltpoint/daemon/held.py
@@ -0,0 +1,123 @@
+"""What the store holds for limiters, and what it means to this one. Free of I/O.
+
+Keys: `shared/document` is the file's tables that all limiters share, `shared/server/NAME` a server entry laid
+over them, `shared/drain/NAME` a server that drains.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from basaltpoint.config.build import Numbers, Setup, assemble
+from basaltpoint.config.decode import Collector, read_toml
+from basaltpoint.config.shared import Shared, parse_document, parse_server, shared_tables
+
+PREFIX = "shared/"
+DOCUMENT = PREFIX + "document"
+SERVER = PREFIX + "server/"
+DRAIN = PREFIX + "drain/"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What is to be done for what came."""
+
+    build: bool  # document or server entries: all is built anew
+    drains: bool
+
+    def __or__(self, other: Change) -> Change:
+        return Change(self.build or other.build, self.drains or other.drains)
+
+
+NOTHING = Change(False, False)
+
+
+class Held:
+    """The keys, each with the revision that set it: what comes late or twice changes nothing."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+        self._changed: dict[str, int] = {}
+
+    def load(self, values: Mapping[str, bytes], revision: int) -> Change:
+        """All of it, as read anew."""
+        change = NOTHING
+        for key in self.values.keys() | values.keys():
+            if self.values.get(key) != values.get(key):
+                change |= _kind(key)
+        self.values = dict(values)
+        self._changed = dict.fromkeys(values, revision)
+        return change
+
+    def take(self, events: Iterable[tuple[int, str, bytes | None]]) -> Change:
+        """Changes: revision, key, value or None for a removal."""
+        change = NOTHING
+        for revision, key, value in events:
+            if revision <= self._changed.get(key, 0):
+                continue
+            self._changed[key] = revision
+            if value != self.values.get(key):
+                change |= _kind(key)
+            if value is None:
+                self.values.pop(key, None)
+            else:
+                self.values[key] = value
+        return change
+
+    @property
+    def drains(self) -> frozenset[str]:
+        return frozenset(key.removeprefix(DRAIN) for key in self.values if key.startswith(DRAIN))
+
+    @property
+    def document(self) -> bytes | None:
+        return self.values.get(DOCUMENT)
+
+    def setup(self, path: Path, numbers: Numbers | None) -> Setup:
+        """What a limiter with this file runs on; FileError with every problem found."""
+        out = Collector(f"{path} with {DOCUMENT} of the store")
+        raw = read_toml(path, out)
+        tables = parse_document(self.document, out) if self.document is not None else {}
+        servers = {
+            key.removeprefix(SERVER): parse_server(key.removeprefix(SERVER), value, out)
+            for key, value in self.values.items()
+            if key.startswith(SERVER)
+        }
+        out.check()
+        return assemble(Shared(tables, servers).over(raw), path, out, numbers).drained(self.drains)
+
+
+def _kind(key: str) -> Change:
+    drains = key.startswith(DRAIN)
+    return Change(not drains and key.startswith(PREFIX), drains)
+
+
+def stored(path: Path) -> bool:
+    """Whether a file asks for a store."""
+    return "store" in read_toml(path, Collector(str(path)))
+
+
+def limiter_name(path: Path) -> str:
+    """The limiter's name, under which the store holds what is its own."""
+    name = read_toml(path, Collector(str(path))).get("name", "basaltpoint")
+    return name if isinstance(name, str) else "basaltpoint"
+
+
+def first_document(path: Path) -> bytes | None:
+    """The file's own text where it has shared tables: a new store begins with it. FileError."""
+    out = Collector(str(path))
+    raw: dict[str, Any] = read_toml(path, out)
+    out.check()
+    return path.read_bytes() if shared_tables(raw) else None
+
+
+def check_document(path: Path) -> bytes:
+    """A file's text, once all of it is right as a limiter's; FileError with every problem found."""
+    out = Collector(str(path))
+    raw = read_toml(path, out)
+    out.check()
+    raw.setdefault("listen", "127.0.0.1:0")
+    assemble(raw, path, out)
+    return path.read_bytes()
--- /dev/null
+++ b/basaltpoint/daemon/keeper.py
@@ -0,0 +1,382 @@
+"""The limiter's side of the store: reads what is held, follows it, and writes what the next life needs.
+
+It decides nothing about requests. Where the store does not answer, the limiter serves on from what it has.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import math
+import os
+import sys
+import time
+import zlib
+from asyncio.subprocess import Process
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from basaltpoint.config.schema import Start
+from basaltpoint.config.storage import Storage
+from basaltpoint.daemon.balances import Balance, Balances, SignOfLife, down
+from basaltpoint.daemon.held import DOCUMENT, PREFIX, Change, Held, first_document
+from basaltpoint.store import setting
+from basaltpoint.store.client import StoreError, UnavailableError
+from basaltpoint.store.machine import Check, CompactedError, Put
+
+log = logging.getLogger("basaltpoint")
+
+LEASE_MS = 10_000  # of the limiter's own key: gone so long after it ended
+KEEP_MS = 600_000  # of its balances: a ceiling that is longer in filling starts from nothing after that
+RENEW_S = 2.0
+TELL_S = 10.0  # between two lines about a store that does not answer
+LEARNED_S = 30.0
+CACHE_S = 0.5  # the copy is written at most so often
+STOP_S = 3.0  # for the last write and the replica's end
+WAIT_S = 2.0  # of one try at a start
+
+
+class StartError(Exception):
+    """The limiter can't start; the text says why and what to do."""
+
+
+class Copy(msgspec.Struct, frozen=True, array_like=True):
+    """What was held last, in a file for a start without the store."""
+
+    saved_ms: float  # Unix time
+    revision: int
+    values: dict[str, bytes]
+
+
+class Keeper:
+    """One limiter's store."""
+
+    def __init__(self, storage: Storage, path: Path, name: str) -> None:
+        self.storage, self.path, self.name = storage, path, name
+        self.held = Held()
+        self.client = setting.client(storage)
+        self.revision = 0
+        self.down_s = 0.0
+        self.balances: dict[str, Balance] = {}
+        self.learned: dict[str, tuple[tuple[float, ...], float]] = {}
+        self._current = 0.0  # loop time at which the state was known to be current
+        self._copied_ms = 0.0  # Unix time of a copy that is served from; 0 where none is
+        self._told = -math.inf
+        self._lease = self._long_lease = 0
+        self._told_own: tuple[int, str] | None = None  # what stands in the limiter's own key
+        self._problem = ""
+        self._tells = False  # whether there is something for the next life
+        self._tasks: list[asyncio.Task[None]] = []
+        self._child: Process | None = None
+        self._copying: asyncio.TimerHandle | None = None  # the copy is to be written
+        self._booted = _boot()
+        storage.folder.mkdir(parents=True, exist_ok=True, mode=0o700)
+
+    # --- Start ------------------------------------------------------------------------------------------
+    async def start(self) -> None:
+        """Have what is held, as the setting `start` says; StartError."""
+        self.down_s = down(self._last_sign(), self._booted, _clock_s())
+        self.sign()
+        if self.storage.table.name:
+            self._run(self._run_replica())
+        table, began = self.storage.table, time.monotonic()
+        while True:
+            try:
+                await self._read(WAIT_S)
+                await self._first_document()
+                await self._read_own()
+                return
+            except UnavailableError as error:
+                waited = time.monotonic() - began
+                if table.start is Start.CACHED and waited >= table.start_s:
+                    self._from_copy()
+                    return
+                self._tell(f"store: {error}; the start waits for it")
+
+    async def _read(self, within_s: float) -> Change:
+        values, revision = await self.client.range(PREFIX, within_s=within_s)
+        change = self.held.load({key: value.value for key, value in values.items()}, revision)
+        self.revision = revision
+        self._known_current()
+        if change.build or change.drains:
+            self._copy_soon()
+        return change
+
+    async def _first_document(self) -> None:
+        if self.held.document is not None:
+            return
+        text = first_document(self.path)
+        if text is None:
+            raise StartError(
+                f"{self.path}: the store holds no configuration; put it there: basaltpoint config push FILE"
+            )
+        with contextlib.suppress(StoreError):  # another limiter was first
+            await self.client.txn([Put(DOCUMENT, text)], [Check(DOCUMENT, 0)], WAIT_S)
+        await self._read(WAIT_S)
+
+    async def _read_own(self) -> None:
+        """What an earlier life of this limiter left."""
+        prefix = f"balance/{self.name}/"
+        found, _ = await self.client.range(prefix, within_s=WAIT_S)
+        for key, value in found.items():
+            with contextlib.suppress(msgspec.DecodeError):
+                balance = msgspec.msgpack.decode(value.value, type=Balance)
+                self.balances[key.removeprefix(prefix)] = balance
+        learned = await self.client.get(f"learned/{self.name}", within_s=WAIT_S)
+        if learned is None:
+            return
+        with contextlib.suppress(msgspec.DecodeError):
+            at_ms, pools = msgspec.msgpack.decode(
+                learned.value, type=tuple[float, dict[str, tuple[tuple[float, ...], float]]]
+            )
+            if time.time() * 1000 - at_ms <= self.storage.table.learned_s * 1000:
+                self.learned = pools
+
+    # --- The copy on this host ----------------------------------------------------------------------------
+    @property
+    def _copy(self) -> Path:
+        return self.storage.folder / f"copy-{self.name}"
+
+    def _from_copy(self) -> None:
+        try:
+            raw = self._copy.read_bytes()
+            if zlib.crc32(raw[4:]) != int.from_bytes(raw[:4], "little"):
+                raise ValueError("it is damaged")
+            copy = msgspec.msgpack.decode(raw[4:], type=Copy)
+        except (OSError, ValueError) as error:
+            raise StartError(
+                f"the store does not answer, and {self._copy} can't be used: {error}; start its replicas"
+            ) from None
+        self.held.load(copy.values, 0)
+        self._copied_ms = copy.saved_ms
+        self._tell(f"store: it does not answer; serving from a copy that is {self.age_s:.1f} s old")
+
+    def _copy_soon(self) -> None:
+        if self._copying is None:
+            self._copying = asyncio.get_running_loop().call_later(CACHE_S, self._write_copy)
+
+    def _write_copy(self) -> None:
+        self._copying = None
+        body = msgspec.msgpack.encode(Copy(time.time() * 1000, self.revision, self.held.values))
+        temporary = self._copy.with_suffix(".tmp")
+        try:
+            temporary.write_bytes(zlib.crc32(body).to_bytes(4, "little") + body)
+            os.rename(temporary, self._copy)
+        except OSError as error:
+            log.error("store: the copy for a start without it can't be written: %s", error)
+
+    # --- How old it is ------------------------------------------------------------------------------------
+    def _known_current(self) -> None:
+        if self._copied_ms or self._told > 0:
+            log.info("store: it answers again")
+        self._copied_ms, self._told = 0.0, -math.inf
+        self._current = time.monotonic()
+
+    @property
+    def age_s(self) -> float:
+        """How long ago what is served from was known to be current."""
+        if self._copied_ms:
+            return max(0.0, time.time() - self._copied_ms / 1000)
+        return time.monotonic() - self._current
+
+    def _tell(self, text: str) -> None:
+        now = time.monotonic()
+        if now - self._told >= TELL_S:
+            self._told = now
+            log.warning("%s", text)
+
+    # --- While it runs ------------------------------------------------------------------------------------
+    def follow(self, changed: Callable[[Change], str], relay: RelayView) -> None:
+        """Follow the store from now on; `changed` takes up what came, and tells a problem or nothing."""
+        self._changed, self._relay, self._tells = changed, relay, True
+        self._run(self._follow())
+        self._run(self._presence())
+        if self.storage.table.balances_s:
+            self._run(self._write_balances())
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(_told_failure)
+        self._tasks.append(task)
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                if self._copied_ms:
+                    self._take(await self._read(TELL_S))
+                async for events, revision in self.client.watch(PREFIX, self.revision + 1):
+                    told = ((e.revision, e.key, e.value.value if e.value else None) for e in events)
+                    self.revision = max(self.revision, revision)
+                    self._take(self.held.take(told))
+            except CompactedError:
+                with contextlib.suppress(UnavailableError):
+                    self._take(await self._read(TELL_S))
+            except UnavailableError as error:
+                self._tell(
+                    f"store: {error}; serving on from what is {self.age_s:.1f} s old, changes are refused"
+                )
+
+    def _take(self, change: Change) -> None:
+        if not (change.build or change.drains):
+            return
+        self._problem = self._changed(change)
+        self._copy_soon()
+
+    async def _presence(self) -> None:
+        """The limiter's own key, under its lease: that it lives, and what it runs on."""
+        while True:
+            try:
+                await self._renew()
+                self._known_current()
+            except UnavailableError as error:
+                self._tell(
+                    f"store: {error}; serving on from what is {self.age_s:.1f} s old, changes are refused"
+                )
+                self.client.drop()  # its watch may hang on one that is cut off, too
+                await asyncio.sleep(0.2)
+                continue
+            except StoreError as error:
+                if error.error != "lease":
+                    self._tell(f"store: {error}")
+                self._lease = self._long_lease = 0
+                self._told_own = None
+                self._relay.balances.forget()
+                continue
+            await asyncio.sleep(RENEW_S)
+
+    async def _renew(self) -> None:
+        if self._long_lease:
+            await self.client.renew(self._long_lease, TELL_S / 2)
+        else:
+            self._long_lease = await self.client.grant(KEEP_MS, TELL_S / 2)
+        if self._lease:
+            await self.client.renew(self._lease, TELL_S / 2)
+        else:
+            self._lease = await self.client.grant(LEASE_MS, TELL_S / 2)
+        told = self.revision, self._problem
+        if told != self._told_own:
+            own = {"revision": self.revision, "problem": self._problem, "since_ms": int(time.time() * 1000)}
+            value = json.dumps(own).encode()
+            await self.client.put(f"limiter/{self.name}", value, self._lease, TELL_S / 2)
+            self._told_own = told
+
+    async def _write_balances(self) -> None:
+        written_at = -math.inf
+        while True:
+            await asyncio.sleep(self.storage.table.balances_s)
+            if not self._long_lease:
+                continue
+            try:
+                await self._put_balances(self._relay.due_balances(final=False))
+                if time.monotonic() - written_at >= LEARNED_S:
+                    written_at = time.monotonic()
+                    await self._put_learned()
+            except StoreError:
+                self._relay.balances.forget()  # the presence tells of it
+
+    async def _put_balances(self, due: dict[str, Balance]) -> None:
+        ops = [
+            Put(f"balance/{self.name}/{account}", msgspec.msgpack.encode(balance), self._long_lease)
+            for account, balance in due.items()
+        ]
+        for at in range(0, len(ops), 200):
+            await self.client.txn(ops[at : at + 200], within_s=STOP_S)
+
+    async def _put_learned(self) -> None:
+        if pools := self._relay.learned():
+            value = msgspec.msgpack.encode((time.time() * 1000, pools))
+            await self.client.put(f"learned/{self.name}", value, self._long_lease, STOP_S)
+
+    # --- Signs of life --------------------------------------------------------------------------------------
+    @property
+    def _sign(self) -> Path:
+        return self.storage.folder / f"alive-{self.name}"
+
+    def sign(self) -> None:
+        """Note that this life is not over; to be called more often than each second."""
+        with contextlib.suppress(OSError):
+            self._sign.write_bytes(msgspec.json.encode(SignOfLife(self._booted, _clock_s())))
+
+    def _last_sign(self) -> SignOfLife | None:
+        try:
+            return msgspec.json.decode(self._sign.read_bytes(), type=SignOfLife)
+        except (OSError, msgspec.DecodeError):
+            return None
+
+    # --- The replica beside it ----------------------------------------------------------------------------
+    async def _run_replica(self) -> None:
+        """A process of its own: what it waits for on the disk must not hold requests up."""
+        wait = 0.1
+        while True:
+            began = time.monotonic()
+            self._child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "basaltpoint",
+                "store",
+                "run",
+                "--embedded",
+                str(self.path),
+                stdin=asyncio.subprocess.PIPE,
+                start_new_session=True,  # an interrupt from the terminal is the limiter's alone
+            )
+            code = await self._child.wait()
+            wait = 0.1 if time.monotonic() - began > 10 else min(5.0, wait * 2)
+            log.error("store: the replica has ended with code %s; it is started again in %.1f s", code, wait)
+            await asyncio.sleep(wait)
+
+    async def stop(self) -> None:
+        """The last balances, then the replica's end."""
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        if self._tells and self.storage.table.balances_s:
+            with contextlib.suppress(StoreError, TimeoutError):
+                async with asyncio.timeout(STOP_S):
+                    if not self._long_lease:
+                        self._long_lease = await self.client.grant(KEEP_MS, STOP_S)
+                    await self._put_balances(self._relay.due_balances(final=True))
+                    await self._put_learned()
+        if self._copying:
+            self._copying.cancel()
+            self._write_copy()
+        self.client.close()
+        if self._child and self._child.returncode is None:
+            self._child.terminate()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(STOP_S):
+                    await self._child.wait()
+
+
+class RelayView:
+    """What the keeper asks of the limiter."""
+
+    balances: Balances
+
+    def due_balances(self, final: bool) -> dict[str, Balance]:
+        raise NotImplementedError
+
+    def learned(self) -> dict[str, tuple[tuple[float, ...], float]]:
+        raise NotImplementedError
+
+
+def _told_failure(task: asyncio.Task[None]) -> None:
+    """A fault here must be seen: the limiter would serve on from what is ever older."""
+    if not task.cancelled() and (error := task.exception()):
+        log.error("store: the limiter follows it no more", exc_info=error)
+
+
+def _clock_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _boot() -> str:
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
--- /dev/null
+++ b/basaltpoint/daemon/kept.py
@@ -0,0 +1,104 @@
+"""Between the store and a running limiter: what is held is taken up, what is to be kept is told."""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+from typing import TYPE_CHECKING
+
+from basaltpoint import interface as api
+from basaltpoint.config.decode import FileError
+from basaltpoint.daemon.balances import Balance, Balances, recall
+from basaltpoint.daemon.held import Change
+from basaltpoint.daemon.keeper import Keeper, RelayView
+
+if TYPE_CHECKING:
+    from basaltpoint.daemon.standalone import Standalone
+
+log = logging.getLogger("basaltpoint")
+
+
+class Kept(RelayView):
+    """One limiter's."""
+
+    def __init__(self, limiter: Standalone) -> None:
+        self._limiter = limiter
+        self.balances = Balances()
+        self._looked = -math.inf  # when accounts were looked through last, of the module's clock
+        self._numbers: dict[int, str] = {}
+        self._problem = ""  # of the document that could not be used
+
+    def begin(self, keeper: Keeper) -> None:
+        """Give back what an earlier life left, and follow the store from now on."""
+        self._keeper = keeper
+        self._name_accounts()
+        setup, relay = self._limiter.setup, self._limiter.relay
+        accounts = {account.name: account for account in setup.accounts.all()}
+        now_ms = time.time() * 1000
+        for name, balance in keeper.balances.items():
+            if account := accounts.get(name):
+                plan = setup.settings.plans[account.plan]
+                event = recall(account.number, plan, balance, now_ms, keeper.down_s)
+                relay.do(relay.table.tell(relay.now(), event))
+        for name, (light, mean_ms) in keeper.learned.items():
+            if name in setup.pools:
+                learned = api.Learned(setup.pools[name], light, mean_ms)
+                relay.do(relay.table.tell(relay.now(), learned))
+        if keeper.balances:
+            log.info(
+                "store: %d accounts go on, %.1f s after the last life", len(keeper.balances), keeper.down_s
+            )
+        keeper.follow(self._changed, self)
+
+    def _name_accounts(self) -> None:
+        self._numbers = {account.number: account.name for account in self._limiter.setup.accounts.all()}
+
+    def _changed(self, change: Change) -> str:
+        """Take up what came. A document that can't be used changes nothing, but its drains hold."""
+        limiter, held = self._limiter, self._keeper.held
+        if not change.build:
+            limiter.take_up(limiter.setup.drained(held.drains))
+            log.info("store: draining: %s", ", ".join(sorted(held.drains)) or "none")
+            return self._problem
+        try:
+            limiter.take_up(limiter.from_store())
+        except FileError as error:
+            for problem in error.problems:
+                log.error("%s", problem)
+            log.error("store: the configuration stays as it was")
+            limiter.take_up(limiter.setup.drained(held.drains))
+            self._problem = str(error.problems[0])
+            return self._problem
+        self._problem = ""
+        self._name_accounts()
+        log.info("store: the configuration was taken up, revision %d", self._keeper.revision)
+        return ""
+
+    # --- What the next life needs ------------------------------------------------------------------------
+    def due_balances(self, final: bool) -> dict[str, Balance]:
+        relay = self._limiter.relay
+        gateway, now, at_ms = relay.gateway, relay.now(), time.time() * 1000
+        if final:
+            chosen = list(gateway.customers)
+        else:
+            asked = list(gateway.asked_since(self._looked))
+            self._looked = now
+            wanted = [*self.balances.waiting(), *asked]
+            standings = {n: standing for n in wanted if (standing := gateway.standing(now, n))}
+            chosen = self.balances.due(asked, standings)
+        found = {}
+        for number in chosen:
+            name, standing = self._numbers.get(number), gateway.standing(now, number)
+            if name and standing:
+                found[name] = Balance(standing.left, standing.ceiling, at_ms, final)
+        return found
+
+    def learned(self) -> dict[str, tuple[tuple[float, ...], float]]:
+        """Light-load latencies of each pool: in a jam at the start they can't be measured."""
+        names = {number: name for name, number in self._limiter.setup.pools.items()}
+        return {
+            names[number]: (tuple(pool.low), pool.fleet.mean_ms)
+            for number, pool in self._limiter.relay.gateway.pools.items()
+            if number in names and min(pool.low) < math.inf
+        }
--- a/basaltpoint/daemon/standalone.py
+++ b/basaltpoint/daemon/standalone.py
@@ -12,9 +12,12 @@
 
 import uvloop
 
-from basaltpoint.config import build
+from basaltpoint.config import build, storage
 from basaltpoint.config.build import Numbers, Setup
 from basaltpoint.config.decode import FileError, Problem, shown
+from basaltpoint.daemon.held import limiter_name, stored
+from basaltpoint.daemon.keeper import Keeper, StartError
+from basaltpoint.daemon.kept import Kept
 from basaltpoint.fronts.http.connection import ClientConnection
 from basaltpoint.fronts.http.relay import Relay
 
@@ -28,9 +31,15 @@
     """One limiter from one file."""
 
     def __init__(self, path: Path, seed: int | None = None) -> None:
+        """FileError with every problem of the file; with [store] the rest is known at the start only."""
         self.path = path
         self._numbers = Numbers()
-        self.setup: Setup = build.load(path, self._numbers)
+        self.setup: Setup
+        self.keeper: Keeper | None = None
+        if stored(path):
+            self.keeper, self._kept = Keeper(storage.load(path), path, limiter_name(path)), Kept(self)
+        else:
+            self.setup = build.load(path, self._numbers)
         self._seed = secrets.randbits(64) if seed is None else seed
         self.relay: Relay
         self.address = ("", 0)
@@ -38,8 +47,13 @@
         self._sweeper: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listen and serve; OSError where the address can't be had."""
-        self.relay = Relay(self.setup, self._seed)
+        """Listen and serve; OSError where the address can't be had, FileError, StartError from the store."""
+        if self.keeper:
+            await self.keeper.start()
+            self.setup = self.from_store()
+        self.relay = Relay(self.setup, self._seed, self.keeper.down_s * 1000 if self.keeper else 0.0)
+        if self.keeper:
+            self._kept.begin(self.keeper)
         host, port = self.setup.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
@@ -57,29 +71,40 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.relay.sweep()
+            if self.keeper:
+                self.keeper.sign()
 
     def reload(self) -> bool:
         """Take up the file as it is now; one with any problem changes nothing, and each is told."""
         try:
-            setup = build.load(self.path, self._numbers)
+            setup = self.from_store() if self.keeper else build.load(self.path, self._numbers)
             self._same(setup)
         except FileError as error:
             for problem in error.problems:
                 log.error("%s", problem)
             log.error("the configuration stays as it was")
             return False
-        self.setup = setup
-        self.relay.apply(setup)
+        self.take_up(setup)
         log.info("%s was taken up again", self.path)
         return True
 
+    def from_store(self) -> Setup:
+        """What the store holds, with this limiter's own file; FileError."""
+        assert self.keeper
+        return self.keeper.held.setup(self.path, self._numbers)
+
+    def take_up(self, setup: Setup) -> None:
+        """Go over to another configuration at once."""
+        self.setup = setup
+        self.relay.apply(setup)
+
     def _same(self, setup: Setup) -> None:
         """What can't change under a running process is an error, not silently old."""
         old, new = self.setup.file, setup.file
         allowed = "as at the start, or a restart"
         wrong = [
             Problem(str(self.path), key, f"found {shown(str(getattr(new, key)))}", allowed)
-            for key in ("listen", "limits", "name")
+            for key in ("listen", "limits", "name", "store")
             if getattr(old, key) != getattr(new, key)
         ]
         if wrong:
@@ -101,9 +126,11 @@
         """End at once."""
         if self._server:
             self._server.close()
+        if self.keeper:
+            await self.keeper.stop()
         if self._sweeper:
             self._sweeper.cancel()
-        self.relay.close()
+            self.relay.close()
         await asyncio.sleep(0)
 
 
@@ -112,8 +139,22 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, limiter.reload)
-    await limiter.start()
-    await stop.wait()
+    starting = loop.create_task(limiter.start())
+    stopping = loop.create_task(stop.wait())
+    # A start that waits for the store can be ended, too.
+    await asyncio.wait([starting, stopping], return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done():
+        starting.cancel()
+        if limiter.keeper:
+            await limiter.keeper.stop()
+        return
+    try:
+        starting.result()
+    except BaseException:
+        if limiter.keeper:
+            await limiter.keeper.stop()
+        raise
+    await stopping
     log.info("draining")
     await limiter.drain()
 
@@ -132,6 +173,13 @@
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(_serve(limiter))
+    except FileError as error:
+        for problem in error.problems:
+            log.error("%s", problem)
+        return 2
+    except StartError as error:
+        log.error("%s", error)
+        return 1
     except OSError as error:
         log.error("%s: %s", limiter.setup.file.listen, error)
         return 1
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -34,7 +34,8 @@
 class Relay(Shell):
     """Holds the request table, the servers and what the present configuration says."""
 
-    def __init__(self, setup: Setup, seed: int) -> None:
+    def __init__(self, setup: Setup, seed: int, down_ms: float = 0.0) -> None:
+        """`down_ms`: for how long, at least, nothing has been sent on by an earlier life of this limiter."""
         file = setup.file
         self.setup = setup
         self.name = file.name.encode()
@@ -56,6 +57,7 @@
         self._attempts: dict[int, StreamAttempt] = {}  # the one that is out, by request
         self._memory = int(file.limits.memory_mb * (1 << 20))
         self._held = 0  # bytes of bodies
+        self.gateway.born = self.now() - down_ms  # what ceilings have filled since then is sure
         self._apply(setup, first=True)
 
     # --- Configuration -----------------------------------------------------------------------------
--- a/basaltpoint/interface.py
+++ b/basaltpoint/interface.py
@@ -166,6 +166,24 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """What an earlier life left of a customer: units in its quota, and in its ceiling at least."""
+
+    customer: int
+    left: float
+    ceiling: float
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What was learned of a pool: light-load latencies of lane one, two and both, and the mean one, ms."""
+
+    pool: int
+    light: tuple[float, ...]
+    mean_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A client's try: the gateway owes it one final answer by `deadline_ms`."""
@@ -237,6 +255,8 @@
 Event = (
     ServerList
     | NewSettings
+    | Recall
+    | Learned
     | Arrival
     | Outcome
     | StreamBegun
@@ -250,12 +270,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Standing:
-    """A customer's quota: units a second, units at once, units left, ms until it is full again."""
+    """A customer's quota: units a second, units at once, units left, ms until full; the ceiling's left."""
 
     rate: float
     burst: float
     left: float
     full_in_ms: float
+    ceiling: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -10,6 +10,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import takewhile
 from typing import Any
 
 from basaltpoint import interface as api
@@ -75,6 +76,7 @@
         self.born, self.tidied = INF, 0.0
         self.actions: list[api.Action] = []
         self.waits: dict[str, deque[float]] = {}
+        self.recalled: dict[int, tuple[float, api.Recall]] = {}
         self._settle(settings)
         self._pool(0)
         self.acts: dict[type, Callable[[float, Any], None]] = {
@@ -86,6 +88,8 @@
             api.NewSettings: self._told,
             api.TimerFired: self._fired,
             api.ProbeResult: self._probed,
+            api.Recall: self._recall,
+            api.Learned: self._learn,
         }
 
     def _settle(self, settings: api.Settings) -> None:
@@ -128,7 +132,19 @@
         if (customer := self.customers.get(ident)) is None or customer.plan.rate <= 0:
             return None
         plan, left = customer.plan, customer.store.refill(now)
-        return api.Standing(plan.rate, plan.burst, max(0.0, left), (plan.burst - left) / plan.rate * 1000.0)
+        full, ceiling = (plan.burst - left) / plan.rate * 1000.0, customer.ceiling.refill(now)
+        return api.Standing(plan.rate, plan.burst, max(0.0, left), full, max(0.0, ceiling))
+
+    def asked_since(self, then: float) -> Iterable[int]:
+        """The customers that have asked since, the latest first."""
+        return takewhile(lambda ident: self.customers[ident].asked_at >= then, reversed(self.customers))
+
+    def _recall(self, now: float, event: api.Recall) -> None:
+        self.recalled[event.customer] = now, event
+
+    def _learn(self, now: float, event: api.Learned) -> None:
+        pool = self._pool(event.pool)
+        pool.low, pool.fleet.mean_ms = list(event.light), event.mean_ms
 
     def _tidy(self, now: float) -> None:
         """Forget customers that have been idle for longest, and what the flow no longer counts."""
@@ -197,11 +213,20 @@
         customer, plan = self.customers.pop(event.customer, None), self.settings.plans[event.plan]
         if customer is None:
             customer = Customer(plan, event.doors, now, self.born)
+            if self.recalled:
+                self._restore(event.customer, customer)
         elif self.settings.sole and customer.plan is not plan:
             customer.change(now, plan)
         self.customers[event.customer] = customer
         return customer
 
+    def _restore(self, ident: int, customer: Customer) -> None:
+        """Go on from what an earlier life left; both stores have filled since that was told."""
+        if known := self.recalled.pop(ident, None):
+            store, ceiling = customer.store, customer.ceiling
+            store.level, store.at = min(store.depth, known[1].left), known[0]
+            ceiling.level, ceiling.at = min(ceiling.depth, known[1].ceiling), known[0]
+
     def _late(self, now: float, event: api.Arrival, pool: Pool) -> bool:
         """Whether this is a repeat that can hardly be answered within the aim, counted from the first try.
 
--- a/basaltpoint/routing/accounts.py
+++ b/basaltpoint/routing/accounts.py
@@ -10,7 +10,7 @@
 
 import hashlib
 import ipaddress
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -69,6 +69,10 @@
     def __len__(self) -> int:
         return len(self._by_digest)
 
+    def all(self) -> Iterable[Account]:
+        """Each account, as often as it has keys."""
+        return self._by_digest.values()
+
     def key(self, headers: Mapping[str, str]) -> bytes | None:
         """The key that a request brings; the header goes before the bearer token."""
         if value := headers.get(self.identity.header):
--- /dev/null
+++ b/basaltpoint/store/backup.py
@@ -0,0 +1,90 @@
+"""Backups of a whole cluster: written from its state, made a new cluster of.
+
+A file is a magic, u32 CRC-32 of what follows, and one MessagePack structure.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from pathlib import Path
+
+import msgspec
+
+from basaltpoint.store import machine as kv
+from basaltpoint.store.disk import Disk
+from basaltpoint.store.files import Folder
+from basaltpoint.store.folder import FolderError, ReplicaFolder
+from basaltpoint.store.messages import Members, Snapshot
+
+MAGIC = b"BPbackup1\n"
+CRC = struct.Struct("<I")
+# Revisions go on from there: a client that saw later ones before the loss is told `compacted`, not nothing.
+AHEAD = 1 << 32
+
+
+class Backup(msgspec.Struct, frozen=True):
+    """The state of a cluster, and whose it was."""
+
+    cluster: str
+    state: kv.State
+
+
+class BackupError(Exception):
+    """A file that can't be used; the text says why."""
+
+
+def write(path: Path, cluster: str, data: bytes) -> Backup:
+    """Write a state as `Client.dump` tells it; the file is there whole or not at all."""
+    backup = Backup(cluster, msgspec.msgpack.decode(data, type=kv.State))
+    body = msgspec.msgpack.encode(backup)
+    temporary = path.with_name(path.name + ".tmp")
+    with open(temporary, "wb") as file:
+        os.fchmod(file.fileno(), 0o600)
+        file.write(MAGIC + CRC.pack(zlib.crc32(body)) + body)
+        file.flush()
+        os.fsync(file.fileno())
+    os.rename(temporary, path)
+    return backup
+
+
+def read(path: Path) -> Backup:
+    """Read a backup; BackupError, OSError."""
+    raw = path.read_bytes()
+    head = len(MAGIC) + CRC.size
+    if not raw.startswith(MAGIC) or len(raw) < head:
+        raise BackupError(f"{path}: no backup of a store")
+    if zlib.crc32(raw[head:]) != CRC.unpack_from(raw, len(MAGIC))[0]:
+        raise BackupError(f"{path}: the backup is damaged; use another one")
+    return msgspec.msgpack.decode(raw[head:], type=Backup)
+
+
+def restore(backup: Backup, folder: Path, cluster: str, name: str, members: Members) -> None:
+    """Make the folder of one first replica of a new cluster; the same backup for each of them.
+
+    BackupError, FolderError where that can't be.
+    """
+    if cluster == backup.cluster:
+        raise BackupError(
+            f"found cluster {cluster!r}, which the backup is of; allowed: another name, as replicas of the "
+            "old one may still run"
+        )
+    if name not in members.names:
+        raise BackupError(f"found the replica {name!r}; allowed: one of the first members")
+    held = ReplicaFolder(folder, cluster, name)
+    files = Folder(held.log)
+    try:
+        disk = Disk(files)
+        if disk.log.last or disk.log.snapshot.members.members:
+            raise FolderError(f"{folder}: holds a replica already; remove it, or restore to another folder")
+        state = backup.state
+        state.revision += AHEAD
+        state.index = 1
+        state.sessions.clear()  # their clients are told, and look themselves what took effect
+        data = msgspec.msgpack.encode(state)
+        for _ in disk.snapshot(Snapshot(1, 1, members, data), 0):
+            pass
+    finally:
+        files.close()
+        held.close()
--- /dev/null
+++ b/basaltpoint/store/client.py
@@ -0,0 +1,291 @@
+"""A client of the store: one connection to any replica, another where it fails, each command applied once."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
+from contextlib import aclosing
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, TypeVar
+
+from basaltpoint.store import machine as kv
+from basaltpoint.store import protocol as p
+from basaltpoint.store.machine import Check, CompactedError, Delete, Event, Put, Result, Value
+from basaltpoint.store.transport import Link, Tls, connect
+
+T = TypeVar("T")
+ANSWER_S = 3.0  # for one answer; then another replica is asked the same
+AGAIN_S = (0.02, 0.5)  # first and longest wait between two tries
+
+
+class StoreError(Exception):
+    """A request that the store does not grant; `error` is its kind, as in machine.Result."""
+
+    def __init__(self, error: str, text: str) -> None:
+        self.error = error
+        super().__init__(text or error)
+
+
+class UnavailableError(StoreError):
+    """No replica could answer in time: whether a command takes effect yet is not known."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__("unavailable", text)
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A replica: HOST:PORT and the name that its certificate holds, or the path of its socket."""
+
+    address: str
+    name: str = ""
+
+
+class Client:
+    """To be used by one loop; commands of one client go one after the other."""
+
+    def __init__(self, endpoints: Sequence[Endpoint], cluster: str = "", tls: Tls | None = None) -> None:
+        self._endpoints = list(endpoints)
+        self._cluster, self._tls = cluster, tls
+        self._link: Link | None = None
+        self._waits: dict[int, Callable[[Any], None]] = {}
+        self._ident = 0
+        self._at = -1  # the first is asked first
+        self._connecting = asyncio.Lock()  # bound to the loop of its first use
+        self._ordered = asyncio.Lock()
+        self._session = self._number = 0
+        self.revision = 0  # of the latest answer
+
+    # --- Connection ---------------------------------------------------------------------------
+    def greeted(self, link: Link) -> bool:
+        return True
+
+    def came(self, link: Link, frame: p.Frame) -> None:
+        if link is self._link and (wait := self._waits.get(getattr(frame, "ident", 0))):
+            wait(frame)
+
+    def lost(self, link: Link) -> None:
+        if link is self._link:
+            self._link = None
+            waits, self._waits = self._waits, {}
+            for wait in waits.values():
+                wait(None)
+
+    async def _connected(self) -> Link:
+        """The connection, a new one where there is none. OSError, TimeoutError."""
+        async with self._connecting:
+            if self._link is not None:
+                return self._link
+            self._at = (self._at + 1) % len(self._endpoints)
+            to = self._endpoints[self._at]
+            greeting = p.Greeting(p.VERSION, self._cluster)
+            local = "/" in to.address
+            link = await connect(lambda: Link(self, greeting, local), to.address, to.name, self._tls)
+            self._link = link
+            return link
+
+    def drop(self) -> None:
+        """Go to another replica at the next request."""
+        if self._link:
+            self._link.close()
+
+    def close(self) -> None:
+        self.drop()
+
+    async def _once(self, make: Callable[[int], p.Part], answer_s: float) -> Any:
+        """One try; None where it failed."""
+        try:
+            link = await self._connected()
+        except (OSError, TimeoutError):
+            return None
+        self._ident += 1
+        ident, done = self._ident, asyncio.get_running_loop().create_future()
+        self._waits[ident] = lambda frame: None if done.done() else done.set_result(frame)
+        try:
+            if not link.send(make(ident)):
+                link.close()
+                return None
+            async with asyncio.timeout(answer_s):
+                return await done
+        except TimeoutError:
+            link.close()  # it hangs, or lost the answer: the next one is another's
+            return None
+        finally:
+            self._waits.pop(ident, None)
+
+    async def _ask(self, make: Callable[[int], p.Part], good: Callable[[Any], bool], within_s: float) -> Any:
+        """Ask until a good answer comes; UnavailableError after `within_s`."""
+        loop = asyncio.get_running_loop()
+        end, (wait, longest) = loop.time() + within_s, AGAIN_S
+        text = "no replica answers"
+        while (left := end - loop.time()) > 0:
+            frame = await self._once(make, min(ANSWER_S, left))
+            if frame is not None and good(frame):
+                return frame
+            if isinstance(frame, p.Done):
+                text = frame.result.text
+                self.drop()
+            elif frame is not None:
+                text = "the replicas have no leader"
+                self.drop()
+            await asyncio.sleep(min(wait * random.uniform(0.5, 1), max(0.0, end - loop.time())))
+            wait = min(longest, wait * 2)
+        raise UnavailableError(f"{text}; tried for {within_s:g} s")
+
+    # --- Commands ---------------------------------------------------------------------------
+    async def do(self, action: kv.Action, within_s: float = 10.0) -> Result:
+        """Have a command applied, once. StoreError tells what is refused; UnavailableError: not known."""
+        async with self._ordered:
+            if not self._session:
+                self._session, self._number = (await self._command(kv.Open(), 0, 0, within_s)).ident, 0
+            self._number += 1
+            result = await self._command(action, self._session, self._number, within_s)
+        if result.error == "session":
+            self._session = 0
+            raise UnavailableError(result.text)
+        if result.error:
+            raise StoreError(result.error, result.text)
+        return result
+
+    async def _command(self, action: kv.Action, session: int, number: int, within_s: float) -> Result:
+        command = kv.Command(action, session, number)
+
+        def good(frame: Any) -> bool:
+            return isinstance(frame, p.Done) and frame.result.error not in ("unavailable", "unknown")
+
+        frame = await self._ask(lambda ident: p.Do(ident, command), good, within_s)
+        result: Result = frame.result
+        self.revision = max(self.revision, result.revision)
+        return result
+
+    async def txn(
+        self, ops: Sequence[Put | Delete], checks: Sequence[Check] = (), within_s: float = 10.0
+    ) -> Result:
+        """Where all checks hold, all operations together; StoreError `check` where one does not."""
+        return await self.do(kv.Txn(tuple(checks), tuple(ops)), within_s)
+
+    async def put(self, key: str, value: bytes, lease: int = 0, within_s: float = 10.0) -> Result:
+        return await self.txn([Put(key, value, lease)], within_s=within_s)
+
+    async def delete(self, key: str, prefix: bool = False, within_s: float = 10.0) -> Result:
+        return await self.txn([Delete(key, prefix)], within_s=within_s)
+
+    async def grant(self, ttl_ms: int, within_s: float = 10.0) -> int:
+        return (await self.do(kv.Grant(ttl_ms), within_s)).ident
+
+    async def renew(self, lease: int, within_s: float = 10.0) -> None:
+        """StoreError `lease` where it has ended."""
+        await self.do(kv.Renew(lease), within_s)
+
+    # --- Reads ---------------------------------------------------------------------------
+    async def range(
+        self, prefix: str, *, local: bool = False, exact: bool = False, within_s: float = 10.0
+    ) -> tuple[dict[str, Value], int]:
+        """All under a prefix, and the revision that it is of at least; a watch goes on from the next.
+
+        `local`: what the replica has, which may be old. Changes between two pages show in the watch.
+        """
+        found: dict[str, Value] = {}
+        after, revision = "", 0
+        while True:
+            page = await self._page(p.Get(0, prefix, after, local, exact), within_s)
+            found.update(page.values)
+            revision = revision or page.revision
+            if not page.more:
+                self.revision = max(self.revision, page.revision)
+                return found, revision
+            after = list(page.values)[-1]
+
+    async def _page(self, get: p.Get, within_s: float) -> p.Page:
+        def make(ident: int) -> p.Part:
+            return p.Get(ident, get.prefix, get.after, get.local, get.exact)
+
+        page: p.Page = await self._ask(make, lambda f: isinstance(f, p.Page) and not f.error, within_s)
+        return page
+
+    async def get(self, key: str, *, local: bool = False, within_s: float = 10.0) -> Value | None:
+        return (await self.range(key, local=local, exact=True, within_s=within_s))[0].get(key)
+
+    async def watch(self, prefix: str, revision: int) -> AsyncIterator[tuple[list[Event], int]]:
+        """Changes from a revision on, with the revision up to which they are all; for ever, over any replica.
+
+        CompactedError where some are not held any more: read all anew, and watch from there.
+        """
+        told = revision - 1
+        wait, longest = AGAIN_S
+        while True:
+            async with aclosing(self._follow(prefix, told + 1)) as frames:
+                async for frame in frames:
+                    wait = AGAIN_S[0]
+                    if frame.compacted:
+                        raise CompactedError(frame.compacted)
+                    # A replica that is behind tells an older revision; what was told stays told.
+                    events = [event for event in frame.events if event.revision > told]
+                    told = max(told, frame.revision)
+                    if events or frame.revision >= told:
+                        yield events, told
+            await asyncio.sleep(wait)
+            wait = min(longest, wait * 2)
+
+    async def _follow(self, prefix: str, revision: int) -> AsyncGenerator[p.Events, None]:
+        """One watch of one connection, to its end."""
+        try:
+            link = await self._connected()
+        except (OSError, TimeoutError):
+            return
+        self._ident += 1
+        ident = self._ident
+        frames: asyncio.Queue[Any] = asyncio.Queue()
+        self._waits[ident] = frames.put_nowait
+        link.send(p.Watch(ident, prefix, revision))
+        try:
+            while (frame := await frames.get()) is not None:
+                yield frame
+        finally:
+            self._waits.pop(ident, None)
+            link.send(p.Unwatch(ident))
+
+    # --- Operators' ---------------------------------------------------------------------------
+    async def status(self, within_s: float = 5.0) -> p.Standing:
+        """How the replica stands that is asked."""
+        found: p.Standing = await self._ask(p.Status, lambda f: isinstance(f, p.Standing), within_s)
+        return found
+
+    async def dump(self, within_s: float = 30.0) -> bytes:
+        """The whole state, current: what `restore` makes a cluster of."""
+        data, total = b"", -1
+        while len(data) != total:
+            offset = len(data)
+            part = await self._ask(partial(p.Dump, offset=offset), _dumped, within_s)
+            if offset and part.total != total:  # another replica, or another state: begin anew
+                data, total = b"", -1
+                continue
+            data, total = data + part.data, part.total
+        return data
+
+    async def change(self, what: str, name: str, address: str = "", within_s: float = 10.0) -> Result:
+        """Add a learner, promote it to a voter, remove a member. StoreError says what stands against it."""
+        return await self._operate(lambda ident: p.Change(ident, what, name, address), within_s)
+
+    async def transfer(self, name: str, within_s: float = 10.0) -> Result:
+        return await self._operate(lambda ident: p.Transfer(ident, name), within_s)
+
+    async def snapshot(self, within_s: float = 10.0) -> Result:
+        return await self._operate(p.Snap, within_s)
+
+    async def _operate(self, make: Callable[[int], p.Part], within_s: float) -> Result:
+        # Not repeated where its effect is not known: the operator looks first.
+        def good(frame: Any) -> bool:
+            return isinstance(frame, p.Done) and frame.result.error != "unavailable"
+
+        frame = await self._ask(make, good, within_s)
+        result: Result = frame.result
+        if result.error:
+            raise StoreError(result.error, result.text)
+        return result
+
+
+def _dumped(frame: Any) -> bool:
+    return isinstance(frame, p.Dumped) and not frame.error
--- /dev/null
+++ b/basaltpoint/store/command.py
@@ -0,0 +1,331 @@
+"""`basaltpoint store`: run a replica, look at the cluster, change it, back it up; `drain` and `undrain`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import uvloop
+
+from basaltpoint.config import storage as storages
+from basaltpoint.config.decode import FileError
+from basaltpoint.config.storage import Storage
+from basaltpoint.store import backup, setting
+from basaltpoint.store.client import Client, StoreError
+from basaltpoint.store.disk import DamageError
+from basaltpoint.store.files import Point, no_point
+from basaltpoint.store.folder import FolderError
+from basaltpoint.store.machine import Check, CompactedError, Delete, Put
+from basaltpoint.store.replica import Replica
+
+log = logging.getLogger("basaltpoint")
+
+CRASH = "BASALTPOINT_STORE_CRASH"  # POINT:COUNT, for tests: SIGKILL when it is reached so often
+CAUGHT_UP_S = 60.0  # for a new member to catch up, by default
+DRAIN = "shared/drain/"  # as the daemon holds them
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """The commands of `store`."""
+    commands = parser.add_subparsers(dest="store_command", required=True)
+
+    def command(
+        name: str, text: str, act: Callable[[Client, argparse.Namespace], Awaitable[int]]
+    ) -> argparse.ArgumentParser:
+        made = commands.add_parser(name, help=text)
+        _common(made)
+        made.set_defaults(act=act)
+        return made
+
+    run = commands.add_parser("run", help="run the replica of a file until SIGTERM")
+    run.add_argument("config", type=Path)
+    run.add_argument("--embedded", action="store_true", help="end when standard input does: with its parent")
+    run.set_defaults(act=None)
+    restore = commands.add_parser(
+        "restore", help="make the folder of a first replica of a new cluster from a backup"
+    )
+    restore.add_argument("backup", type=Path)
+    _common(restore)
+    restore.set_defaults(act=None)
+    command("status", "how the replica stands that is asked", _status)
+    command("members", "who belongs to the cluster", _members)
+    add = command("add", "add a replica: a learner until it has caught up, then a voter", _add)
+    add.add_argument("name")
+    add.add_argument("address", help="HOST:PORT at which the others reach it")
+    add.add_argument("--learner", action="store_true", help="leave it a learner")
+    add.add_argument("--wait", type=float, default=CAUGHT_UP_S, metavar="S", help="for it to catch up")
+    command("remove", "remove a replica", _remove).add_argument("name")
+    command("transfer", "hand the leadership to a replica", _transfer).add_argument("name")
+    snapshot = command("snapshot", "compact the log; with FILE also write a backup of the cluster", _snapshot)
+    snapshot.add_argument("file", type=Path, nargs="?")
+    get = command("get", "print keys and values; exit code 1 where there is none", _get)
+    get.add_argument("key")
+    get.add_argument("--prefix", action="store_true", help="all keys that begin so")
+    get.add_argument("--local", action="store_true", help="what the replica has, which may be old")
+    put = command("put", "set a key to a text, or to standard input with -", _put)
+    put.add_argument("key")
+    put.add_argument("value")
+    put.add_argument(
+        "--revision", type=int, help="only where it was last changed by it; 0: where there is none"
+    )
+    delete = command("delete", "remove a key", _delete)
+    delete.add_argument("key")
+    delete.add_argument("--prefix", action="store_true", help="all keys that begin so")
+    watch = command("watch", "print changes as they come", _watch)
+    watch.add_argument("prefix")
+    watch.add_argument("--revision", type=int, help="from a revision on; without it, from now")
+
+
+def add_drain_arguments(parser: argparse.ArgumentParser, drain: bool) -> None:
+    """Those of `drain` and `undrain`."""
+    parser.add_argument("server", help="its name")
+    _common(parser)
+    parser.set_defaults(store_command="drain", act=_drain if drain else _undrain)
+
+
+def _common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--config",
+        type=Path,
+        default=Path("basaltpoint.toml"),
+        help="file with the [store] table (basaltpoint.toml)",
+    )
+    parser.add_argument("--within", type=float, default=10.0, metavar="S", help="how long to try (10)")
+
+
+def run(args: argparse.Namespace) -> int:
+    """Carry a command out; the exit code: 1 where it is refused, 2 where the file is wrong."""
+    try:
+        storage = storages.load(args.config)
+    except FileError as error:
+        print(error, file=sys.stderr)
+        return 2
+    if args.store_command == "run":
+        return run_replica(storage, args.embedded)
+    if args.store_command == "restore":
+        return _restore(storage, args.backup)
+    try:
+        return asyncio.run(_with_client(storage, args))
+    except (StoreError, CompactedError) as error:
+        print(error, file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
+
+
+async def _with_client(storage: Storage, args: argparse.Namespace) -> int:
+    client = setting.client(storage)
+    try:
+        act: Callable[[Client, argparse.Namespace], Awaitable[int]] = args.act
+        return await act(client, args)
+    finally:
+        client.close()
+
+
+# --- A replica ---------------------------------------------------------------------------
+def crash_point(text: str) -> Point:
+    """Ends the process at a named point, as a power failure would; only for tests."""
+    if not text:
+        return no_point
+    name, _, count = text.partition(":")
+    left = int(count or 1)
+
+    def point(reached: str) -> None:
+        nonlocal left
+        if reached == name:
+            left -= 1
+            if left == 0:
+                os.kill(os.getpid(), signal.SIGKILL)
+
+    return point
+
+
+def run_replica(storage: Storage, embedded: bool = False) -> int:
+    """Serve until told to end; the exit code."""
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    if not storage.table.name:
+        log.error("store.name: missing; allowed: the replica's name")
+        return 2
+    try:
+        replica = Replica(setting.replica(storage), crash_point(os.environ.get(CRASH, "")))
+    except (FolderError, DamageError, OSError) as error:
+        log.error("store: %s", error)
+        return 1
+    gc.freeze()
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve(replica, embedded))
+    except OSError as error:
+        log.error("store: %s: %s", storage.table.listen or storage.socket, error)
+        return 1
+    return 0
+
+
+async def _serve(replica: Replica, embedded: bool) -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    if embedded:
+        loop.add_reader(sys.stdin.fileno(), stop.set)  # nothing is ever written: it can only end
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await replica.start()
+    where = f"at {replica.address}" if replica.address else "on this host"
+    log.info(
+        "store: replica %s of cluster %s listens %s", replica.setting.name, replica.setting.cluster, where
+    )
+    await stop.wait()
+    replica.close()
+
+
+def _restore(storage: Storage, path: Path) -> int:
+    try:
+        held = backup.read(path)
+        backup.restore(
+            held, storage.folder, storage.table.cluster, storage.table.name, setting.initial(storage)
+        )
+    except (backup.BackupError, FolderError, DamageError, OSError) as error:
+        print(error, file=sys.stderr)
+        return 1
+    table = storage.table
+    print(f"{storage.folder}: replica {table.name} of cluster {table.cluster}, {len(held.state.values)} keys")
+    return 0
+
+
+# --- The cluster ---------------------------------------------------------------------------
+async def _status(client: Client, args: argparse.Namespace) -> int:
+    found = await client.status(args.within)
+    rows = {
+        "replica": f"{found.name} of {found.cluster}",
+        "role": found.role + (", recovering what it may have acknowledged" if found.recovering else ""),
+        "leader": found.leader or f"none for {found.age_ms / 1000:.1f} s",
+        "term": found.term,
+        "log": f"{found.last} entries, {found.commit} committed, {found.applied} applied",
+        "revision": found.revision,
+        "size": f"{found.size} bytes",
+    }
+    if found.broken:
+        rows["broken"] = found.broken
+    for key, value in rows.items():
+        print(f"{key:9} {value}")
+    return 0 if found.leader and not found.broken else 1
+
+
+async def _members(client: Client, args: argparse.Namespace) -> int:
+    found = await client.status(args.within)
+    for member in found.members.members:
+        kind = "voter" if member.voter else "learner"
+        lead = " leader" if member.name == found.leader else ""
+        held = f" holds {found.matches[member.name]} of {found.last}" if member.name in found.matches else ""
+        print(f"{member.name} {member.address or '-'} {kind}{lead}{held}")
+    return 0
+
+
+async def _add(client: Client, args: argparse.Namespace) -> int:
+    await client.change("add", args.name, args.address, args.within)
+    print(f"{args.name} is a learner")
+    if args.learner:
+        return 0
+    end = time.monotonic() + args.wait
+    while True:
+        try:
+            await client.change("promote", args.name, within_s=args.within)
+        except StoreError as error:
+            if error.error != "refused" or time.monotonic() > end:
+                print(f"{args.name} stays a learner: {error}", file=sys.stderr)
+                return 1
+            await asyncio.sleep(0.1)
+        else:
+            print(f"{args.name} is a voter")
+            return 0
+
+
+async def _remove(client: Client, args: argparse.Namespace) -> int:
+    await client.change("remove", args.name, within_s=args.within)
+    print(f"{args.name} is removed")
+    return 0
+
+
+async def _transfer(client: Client, args: argparse.Namespace) -> int:
+    await client.transfer(args.name, args.within)
+    end = time.monotonic() + args.within
+    while (leader := (await client.status(args.within)).leader) != args.name:
+        if time.monotonic() > end:
+            print(f"{leader or 'nobody'} leads still", file=sys.stderr)
+            return 1
+        await asyncio.sleep(0.02)
+    print(f"{args.name} leads")
+    return 0
+
+
+async def _snapshot(client: Client, args: argparse.Namespace) -> int:
+    await client.snapshot(args.within)
+    if args.file is None:
+        print("the log is being compacted")
+        return 0
+    cluster = (await client.status(args.within)).cluster
+    held = backup.write(args.file, cluster, await client.dump(args.within))
+    print(
+        f"{args.file}: {len(held.state.values)} keys at revision {held.state.revision} of cluster {cluster}"
+    )
+    return 0
+
+
+# --- Keys ---------------------------------------------------------------------------
+async def _get(client: Client, args: argparse.Namespace) -> int:
+    found, _ = await client.range(args.key, local=args.local, exact=not args.prefix, within_s=args.within)
+    for key, value in found.items():
+        if args.prefix:
+            print(f"{key} {value.changed} ", end="", flush=True)
+        sys.stdout.buffer.write(value.value + b"\n")
+        sys.stdout.buffer.flush()
+    return 0 if found else 1
+
+
+async def _put(client: Client, args: argparse.Namespace) -> int:
+    value = sys.stdin.buffer.read() if args.value == "-" else args.value.encode()
+    checks = [] if args.revision is None else [Check(args.key, args.revision)]
+    result = await client.txn([Put(args.key, value)], checks, args.within)
+    print(f"revision {result.revision}")
+    return 0
+
+
+async def _delete(client: Client, args: argparse.Namespace) -> int:
+    result = await client.txn([Delete(args.key, args.prefix)], within_s=args.within)
+    print(f"revision {result.revision}")
+    return 0
+
+
+async def _watch(client: Client, args: argparse.Namespace) -> int:
+    revision = args.revision
+    if revision is None:
+        revision = (await client.range("", exact=True, within_s=args.within))[1] + 1
+    async for events, _ in client.watch(args.prefix, revision):
+        for event in events:
+            text = "removed" if event.value is None else event.value.value.decode(errors="replace")
+            print(event.revision, event.key, text, flush=True)
+    return 0
+
+
+# --- Drains ---------------------------------------------------------------------------
+async def _drain(client: Client, args: argparse.Namespace) -> int:
+    told = json.dumps({"since_ms": int(time.time() * 1000)}).encode()
+    await client.put(DRAIN + args.server, told, within_s=args.within)
+    print(f"{args.server} drains: limiters send nothing new to it")
+    return 0
+
+
+async def _undrain(client: Client, args: argparse.Namespace) -> int:
+    if await client.get(DRAIN + args.server, within_s=args.within) is None:
+        print(f"{args.server} does not drain")
+        return 1
+    await client.delete(DRAIN + args.server, within_s=args.within)
+    print(f"{args.server} drains no more")
+    return 0
--- /dev/null
+++ b/basaltpoint/store/folder.py
@@ -0,0 +1,98 @@
+"""A replica's folder: whose it is, that one process uses it, and whether it is an older copy of itself."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+
+import msgspec
+
+IDENTITY = "replica.json"
+STAMP = "stamp"
+LOCK = "lock"
+LOG = "log"
+
+
+class FolderError(Exception):
+    """The folder can't be used; the text says why and what to do."""
+
+
+class Identity(msgspec.Struct, kw_only=True):
+    """What stands in the folder."""
+
+    cluster: str
+    name: str
+    # Device, inode and time of change of the stamp: a copy can't have the same time, as none can set it.
+    stamp: tuple[int, int, int]
+
+
+class ReplicaFolder:
+    """Opened and locked; FolderError where it is another's."""
+
+    def __init__(self, path: Path, cluster: str, name: str) -> None:
+        self.path = path
+        (path / LOG).mkdir(parents=True, exist_ok=True, mode=0o700)
+        self._lock = os.open(path / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise FolderError(f"{path}: another process uses this folder; one at a time is allowed") from None
+        self.suspect = False
+        try:
+            self._open(cluster, name)
+        except BaseException:
+            os.close(self._lock)
+            raise
+
+    @property
+    def log(self) -> Path:
+        return self.path / LOG
+
+    def _open(self, cluster: str, name: str) -> None:
+        self._identity = Identity(cluster=cluster, name=name, stamp=(0, 0, 0))
+        file = self.path / IDENTITY
+        if not file.exists():
+            if any(self.log.iterdir()):
+                raise FolderError(
+                    f"{file}: missing, though there is a log; a replica's whole folder is needed"
+                )
+            self.stamp()
+            return
+        try:
+            held = msgspec.json.decode(file.read_bytes(), type=Identity)
+        except msgspec.DecodeError as error:
+            raise FolderError(f"{file}: {error}; remove the folder and add the replica anew") from None
+        for what, found, wanted in (("cluster", held.cluster, cluster), ("name", held.name, name)):
+            if found != wanted:
+                raise FolderError(
+                    f"{self.path}: found the {what} {found!r}; allowed: {wanted!r}, as configured"
+                )
+        self.suspect = held.stamp != self._stamped()
+
+    def _stamped(self) -> tuple[int, int, int]:
+        try:
+            found = os.stat(self.path / STAMP)
+        except FileNotFoundError:
+            return 0, 0, 0
+        return found.st_dev, found.st_ino, found.st_ctime_ns
+
+    def stamp(self) -> None:
+        """This copy is the replica from now on: to be called when its doubt is on the disk."""
+        with open(self.path / STAMP, "w") as stamp:
+            os.fsync(stamp.fileno())
+        self._identity.stamp = self._stamped()
+        temporary = self.path / (IDENTITY + ".tmp")
+        with open(temporary, "wb") as file:
+            file.write(msgspec.json.format(msgspec.json.encode(self._identity)) + b"\n")
+            file.flush()
+            os.fsync(file.fileno())
+        os.rename(temporary, self.path / IDENTITY)
+        handle = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
+        os.fsync(handle)
+        os.close(handle)
+        self.suspect = False
+
+    def close(self) -> None:
+        os.close(self._lock)
--- /dev/null
+++ b/basaltpoint/store/protocol.py
@@ -0,0 +1,231 @@
+"""What goes over the store's connections: frames, the greeting, clients' requests and their answers.
+
+A frame is u32 little-endian for the bytes that follow, and one MessagePack structure. The first frame of each
+side is its greeting; a connection whose greeting does not fit is closed with nothing told.
+"""
+
+from __future__ import annotations
+
+import struct
+
+import msgspec
+
+from basaltpoint.store import machine as kv
+from basaltpoint.store import messages
+
+VERSION = 1
+LENGTH = struct.Struct("<I")
+FRAME = 8 << 20  # bytes of the longest frame; more is an error of the other side, and ends the connection
+COMMAND = 4 << 20  # bytes of the longest command: with its head it fits into a frame between replicas
+PAGE = 1 << 20  # bytes of keys and values in one answer
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Any frame."""
+
+
+class Greeting(Part, frozen=True, tag="hi"):
+    """Who speaks. `name` is a replica's, empty for a client; `address` is where it listens."""
+
+    version: int
+    cluster: str
+    name: str = ""
+    address: str = ""
+
+
+class Peer(Part, frozen=True, tag="m"):
+    """A message of the core."""
+
+    message: messages.Any
+
+
+class Do(Part, frozen=True, tag="do"):
+    """Apply a command."""
+
+    ident: int
+    command: kv.Command
+
+
+class Get(Part, frozen=True, tag="get"):
+    """What stands under all keys with a prefix, after a key; `local` asks for no proof that it is current."""
+
+    ident: int
+    prefix: str
+    after: str = ""
+    local: bool = False
+    exact: bool = False
+
+
+class Watch(Part, frozen=True, tag="watch"):
+    """Tell all changes from a revision on."""
+
+    ident: int
+    prefix: str
+    revision: int
+
+
+class Unwatch(Part, frozen=True, tag="unwatch"):
+    """End a watch."""
+
+    ident: int
+
+
+class Status(Part, frozen=True, tag="status"):
+    """Tell how it stands."""
+
+    ident: int
+
+
+class Change(Part, frozen=True, tag="change"):
+    """Change the membership: what is one of add, promote, remove."""
+
+    ident: int
+    what: str
+    name: str
+    address: str = ""
+
+
+class Transfer(Part, frozen=True, tag="transfer"):
+    """Hand the leadership to a member."""
+
+    ident: int
+    name: str
+
+
+class Snap(Part, frozen=True, tag="snap"):
+    """Write a snapshot now."""
+
+    ident: int
+
+
+class Dump(Part, frozen=True, tag="dump"):
+    """Tell the whole state, from an offset on; 0 begins anew, with what is current."""
+
+    ident: int
+    offset: int
+
+
+class Dumped(Part, frozen=True, tag="U"):
+    """A part of the state."""
+
+    ident: int
+    total: int
+    data: bytes
+    error: str = ""
+
+
+class Done(Part, frozen=True, tag="D"):
+    """The answer to a command; `error` as in machine.Result, or unavailable, unknown, refused."""
+
+    ident: int
+    result: kv.Result
+
+
+class Page(Part, frozen=True, tag="P"):
+    """The answer to `Get`: with `more` it is to be asked again, after the last key."""
+
+    ident: int
+    revision: int
+    values: dict[str, kv.Value]
+    more: bool = False
+    error: str = ""
+    age_ms: float = 0.0  # how long ago this replica knew that it was current
+
+
+class Events(Part, frozen=True, tag="E"):
+    """Changes, in their order; `compacted` ends the watch: not all of them are held any more."""
+
+    ident: int
+    revision: int  # all up to it have been told
+    events: tuple[kv.Event, ...]
+    compacted: int = 0
+
+
+class Standing(Part, frozen=True, tag="S"):
+    """How a replica stands."""
+
+    ident: int
+    name: str
+    cluster: str
+    role: str
+    leader: str
+    term: int
+    commit: int
+    applied: int
+    last: int
+    revision: int
+    size: int
+    members: messages.Members
+    recovering: bool
+    broken: str
+    age_ms: float
+    matches: dict[str, int] = {}  # of a leader: what each member holds
+
+
+class Pass(Part, frozen=True, tag="f"):
+    """A follower passes a client's request on to the leader."""
+
+    ident: int
+    request: Do | Change | Transfer
+
+
+class Passed(Part, frozen=True, tag="F"):
+    """The leader's answer to it."""
+
+    ident: int
+    result: kv.Result
+
+
+Request = Do | Get | Watch | Unwatch | Status | Change | Transfer | Snap | Dump
+Frame = Greeting | Peer | Pass | Passed | Request | Done | Page | Events | Standing | Dumped
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+class FrameError(Exception):
+    """What came is no frame that is allowed here."""
+
+
+def pack(part: Part) -> bytes:
+    """A whole frame; FrameError where it is too long."""
+    body = _encoder.encode(part)
+    if len(body) > FRAME:
+        raise FrameError(f"a frame of {len(body)} bytes; allowed: {FRAME}")
+    return LENGTH.pack(len(body)) + body
+
+
+class Parser:
+    """Cuts what comes into frames."""
+
+    def __init__(self) -> None:
+        self._held = bytearray()
+        self._at = 0
+
+    def feed(self, data: bytes) -> None:
+        self._held += data
+
+    def next(self) -> Frame | None:
+        """The next whole frame; FrameError where it can't be one."""
+        at, held = self._at, self._held
+        if len(held) - at < LENGTH.size:
+            self._rest()
+            return None
+        (length,) = LENGTH.unpack_from(held, at)
+        if length > FRAME:
+            raise FrameError(f"a frame of {length} bytes; allowed: {FRAME}")
+        end = at + LENGTH.size + length
+        if len(held) < end:
+            self._rest()
+            return None
+        with memoryview(held) as view:
+            try:
+                frame: Frame = _decoder.decode(view[at + LENGTH.size : end])
+            except (msgspec.DecodeError, ValueError) as error:
+                raise FrameError(f"a frame that can't be read: {error}") from None
+        self._at = end
+        return frame
+
+    def _rest(self) -> None:
+        del self._held[: self._at]
+        self._at = 0
--- a/basaltpoint/store/raft.py
+++ b/basaltpoint/store/raft.py
@@ -580,6 +580,7 @@
         self._hear(sender)
         self._marks.update(message.marks)
         if self._lost(message.seen) or self._unsure():
+            self._ask()  # at each heartbeat: nobody may have heard it the first time
             return
         index = message.prev_index
         if index < self.commit and (held := self._skip(message)) is not None:
@@ -630,6 +631,7 @@
         assert self.role is not Role.LEADER, "two leaders of one term"
         self._hear(sender)
         if self._unsure():
+            self._ask()
             return
         if message.index <= self.commit:
             self._post(sender, m.Appended(self.hard.term, True, self.commit, message.round))
--- /dev/null
+++ b/basaltpoint/store/replica.py
@@ -0,0 +1,469 @@
+"""A replica with its sockets and its clock: it decides nothing, `Node` does."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import socket
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from basaltpoint.store import machine as kv
+from basaltpoint.store import protocol as p
+from basaltpoint.store.files import Folder, Point, no_point
+from basaltpoint.store.folder import ReplicaFolder
+from basaltpoint.store.messages import Member, Members, Message
+from basaltpoint.store.node import Node, Sizes
+from basaltpoint.store.raft import Options, RefusedError
+from basaltpoint.store.transport import Caller, Link, Tls
+
+log = logging.getLogger(__name__)
+
+SOCKET = "socket"
+SLICE_S = 0.004  # between two slices of a snapshot: others' messages go first
+READ_S = 2.0  # for a leader to prove itself; then the client asks again
+PASS_S = 5.0  # for the leader's answer to a request that was passed on
+WATCHES = 1000  # of one connection
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One replica's settings."""
+
+    name: str
+    cluster: str
+    folder: Path
+    listen: str = ""  # HOST:PORT for peers and clients on other hosts; empty: the folder's socket alone
+    initial: Members = Members()  # noqa: RUF009 - of a new cluster; none where it is to be added to one
+    tls: Tls | None = None
+    options: Options = Options()  # noqa: RUF009 - it can't be changed
+    sizes: Sizes = Sizes()  # noqa: RUF009 - nor this
+    advertise: str = ""  # what the others are told; `listen` without it
+
+
+@dataclass(slots=True)
+class _Watch:
+    link: Link
+    request: p.Watch
+    told: int = 0  # revision
+
+
+@dataclass(slots=True)
+class _Passing:
+    link: Link
+    ident: int
+    to: str
+    timer: asyncio.TimerHandle | None = field(default=None)
+
+
+class Replica:
+    """One replica on one loop."""
+
+    def __init__(self, setting: Setting, point: Point = no_point, seed: int | None = None) -> None:
+        """FolderError, DamageError, OSError where the folder can't be used."""
+        self.setting = setting
+        self.folder = ReplicaFolder(setting.folder, setting.cluster, setting.name)
+        self._files = Folder(self.folder.log)
+        rng = random.Random(seed)
+        self.node = Node(
+            setting.name,
+            self._files,
+            rng,
+            self._now(),
+            self._send,
+            options=setting.options,
+            sizes=setting.sizes,
+            initial=setting.initial if setting.initial.members else None,
+            suspect=self.folder.suspect,
+            point=point,
+        )
+        self.node.applied = self._applied
+        self.address = setting.advertise or setting.listen
+        self._callers: dict[str, Caller] = {}
+        self._addresses: dict[str, str] = {}  # of those who greeted and are no members yet
+        self._links: set[Link] = set()
+        self._watches: dict[tuple[Link, int], _Watch] = {}
+        self._dumps: dict[Link, bytes] = {}
+        self._passing: dict[int, _Passing] = {}
+        self._passed = 0
+        self._servers: list[asyncio.Server] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._soon = False
+        self._current = 0.0  # when this replica last knew that its state was current, ms
+        self._loop: asyncio.AbstractEventLoop
+
+    @staticmethod
+    def _now() -> float:
+        return time.monotonic() * 1000.0
+
+    # --- Start and end -------------------------------------------------------------------------------
+    async def start(self) -> None:
+        """Listen; OSError where that can't be."""
+        self._loop = asyncio.get_running_loop()
+        path = self.setting.folder / SOCKET
+        path.unlink(missing_ok=True)
+        mask = os.umask(0o177)  # whoever may open the socket may change the store
+        try:
+            self._servers.append(
+                await self._loop.create_unix_server(lambda: Link(self, self._greeting(), True), str(path))
+            )
+        finally:
+            os.umask(mask)
+        if self.setting.listen:
+            host, _, port = self.setting.listen.rpartition(":")
+            host = host.strip("[]")
+            sock = socket.create_server(
+                (host, int(port)), family=socket.AF_INET6 if ":" in host else socket.AF_INET
+            )
+            sock.setblocking(False)
+            if not self.setting.advertise:
+                self.address = f"{self.setting.listen.rpartition(':')[0]}:{sock.getsockname()[1]}"
+            context = self.setting.tls.server() if self.setting.tls else None
+            self._servers.append(
+                await self._loop.create_server(
+                    lambda: Link(self, self._greeting(), False), sock=sock, ssl=context
+                )
+            )
+        self._kick()
+
+    def _greeting(self) -> p.Greeting:
+        return p.Greeting(p.VERSION, self.setting.cluster, self.setting.name, self.address)
+
+    def close(self) -> None:
+        """End; what was acknowledged is on the disk."""
+        for server in self._servers:
+            server.close()
+        for caller in self._callers.values():
+            caller.close()
+        for link in list(self._links):
+            link.close()
+        if self._timer:
+            self._timer.cancel()
+        self._files.close()
+        self.folder.close()
+        with suppress(OSError):
+            (self.setting.folder / SOCKET).unlink()
+
+    # --- The node's turn --------------------------------------------------------------------------------
+    def _kick(self) -> None:
+        """Have the node carry out what is due, together with all else that comes in this turn of the loop."""
+        if not self._soon:
+            self._soon = True
+            self._loop.call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self._soon = False
+        self.node.tick(self._now())
+        self.node.pump()
+        if self.folder.suspect and not self.node.broken:
+            self.folder.stamp()  # the doubt itself is on the disk now
+        self._meet()
+        if self.node.core.leader:
+            self._current = self._now()
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if self.node.broken:
+            return
+        wait = SLICE_S if self.node.writing else max(0.0, (self.node.next_ms - self._now()) / 1000.0)
+        self._timer = self._loop.call_later(wait, self._kick)
+
+    def _meet(self) -> None:
+        """One caller for each other member, and for who speaks to us before it is one."""
+        members = self.node.core.members
+        wanted = dict(self._addresses)
+        wanted.update({member.name: member.address for member in members.members if member.address})
+        wanted.pop(self.setting.name, None)
+        for name, caller in list(self._callers.items()):
+            if wanted.get(name) != caller.address:
+                caller.close()
+                del self._callers[name]
+        for name, address in wanted.items():
+            if name not in self._callers:
+                make: Callable[[], Link] = lambda: Link(self, self._greeting(), False)  # noqa: E731
+                self._callers[name] = Caller(make, name, address, self.setting.tls)
+
+    def _send(self, to: str, message: Message) -> None:
+        if caller := self._callers.get(to):
+            caller.send(p.Peer(message))  # type: ignore[arg-type]
+
+    # --- Connections ------------------------------------------------------------------------------------
+    def greeted(self, link: Link) -> bool:
+        self._links.add(link)
+        other = link.other
+        if other and other.name and other.address and other.name not in self.node.core.members.names:
+            self._addresses[other.name] = other.address
+            self._meet()
+        return True
+
+    def lost(self, link: Link) -> None:
+        self._links.discard(link)
+        self._dumps.pop(link, None)
+        for key in [key for key in self._watches if key[0] is link]:
+            del self._watches[key]
+        if link.name and not any(other.name == link.name for other in self._links):
+            self._addresses.pop(link.name, None)
+            for number, passing in list(self._passing.items()):
+                if passing.to == link.name:
+                    self._unknown(number)
+
+    def came(self, link: Link, frame: p.Frame) -> None:
+        match frame:
+            case p.Peer() if link.name:
+                self.node.step(self._now(), link.name, frame.message)
+            case p.Pass() if link.name:
+                self._serve(link, frame.request, frame.ident)
+            case p.Passed() if link.name:
+                if passing := self._passing.pop(frame.ident, None):
+                    self._answer(passing, frame.result)
+            case p.Do() | p.Change() | p.Transfer():
+                self._ask(link, frame)
+            case p.Get():
+                self._get(link, frame)
+            case p.Watch():
+                self._watch(link, frame)
+            case p.Unwatch():
+                self._watches.pop((link, frame.ident), None)
+            case p.Status():
+                link.send(self.standing(frame.ident))
+            case p.Snap():
+                self._snap(link, frame)
+            case p.Dump():
+                self._dump(link, frame)
+            case _:
+                log.warning("store: a %s that is not allowed here", type(frame).__name__)
+                link.close()
+        self._kick()
+
+    # --- Commands ---------------------------------------------------------------------------------------
+    def _ask(self, link: Link, request: p.Do | p.Change | p.Transfer) -> None:
+        """A client's request, here or passed on to the leader."""
+        core = self.node.core
+        if isinstance(request, p.Do) and (size := _size(request.command)) > p.COMMAND:
+            text = f"found a command of {size} bytes; allowed: {p.COMMAND}"
+            link.send(p.Done(request.ident, self._result("limit", text)))
+            return
+        if self.node.leads or self.node.broken:
+            self._serve(link, request, None)
+            return
+        caller = self._callers.get(core.leader)
+        self._passed += 1
+        number = self._passed
+        if caller is None or not caller.send(p.Pass(number, request)):
+            link.send(p.Done(request.ident, self._result("unavailable", "no leader is known")))
+            return
+        passing = self._passing[number] = _Passing(link, request.ident, core.leader)
+        passing.timer = self._loop.call_later(PASS_S, self._unknown, number)
+
+    def _unknown(self, number: int) -> None:
+        if passing := self._passing.pop(number, None):
+            self._answer(passing, self._result("unknown", "the leader has not answered"))
+
+    def _answer(self, passing: _Passing, result: kv.Result) -> None:
+        if passing.timer:
+            passing.timer.cancel()
+        passing.link.send(p.Done(passing.ident, result))
+
+    def _result(self, error: str, text: str) -> kv.Result:
+        return kv.Result(self.node.machine.state.revision, error, text)
+
+    def _serve(self, link: Link, request: p.Do | p.Change | p.Transfer, passed: int | None) -> None:
+        """A request that the leader is to carry out; `passed` is its number where a follower passed it on."""
+
+        def done(result: kv.Result | None) -> None:
+            told = result or self._result("unknown", "the leadership changed meanwhile")
+            if passed is not None:
+                name = link.name
+                if (caller := self._callers.get(name)) is not None:
+                    caller.send(p.Passed(passed, told))
+            else:
+                link.send(p.Done(request.ident, told))
+
+        now = self._now()
+        try:
+            match request:
+                case p.Do():
+                    self.node.propose(now, request.command, done)
+                case p.Change():
+                    self.node.change(now, self._changed(request), done)
+                case p.Transfer():
+                    self.node.core.transfer(now, request.name)
+                    done(self._result("", ""))
+        except RefusedError as refusal:
+            leads = self.node.leads and not isinstance(request, p.Do)
+            text = self.node.broken or str(refusal)
+            done(self._result("refused" if leads else "unavailable", text))
+
+    def _changed(self, request: p.Change) -> Members:
+        """The membership that is asked for; RefusedError where it can't be."""
+        held = list(self.node.core.members.members)
+        at = next((at for at, member in enumerate(held) if member.name == request.name), None)
+        if request.what == "add":
+            if at is not None:
+                raise RefusedError(f"{request.name} is a member already")
+            held.append(Member(request.name, request.address, voter=False))
+        elif at is None:
+            raise RefusedError(f"{request.name} is no member; members are {', '.join(m.name for m in held)}")
+        elif request.what == "promote":
+            held[at] = Member(held[at].name, held[at].address)
+        elif request.what == "remove":
+            del held[at]
+        else:
+            raise RefusedError(f"found the change {request.what!r}; allowed: add, promote, remove")
+        return Members(tuple(held))
+
+    def _snap(self, link: Link, frame: p.Snap) -> None:
+        if self.node.core.applied > self.node.core.log.snapshot.index and not self.node.writing:
+            self.node.begin_snapshot()
+        link.send(p.Done(frame.ident, self._result("", "")))
+
+    def _dump(self, link: Link, frame: p.Dump) -> None:
+        def told() -> None:
+            data = self._dumps.get(link, b"")
+            part = data[frame.offset : frame.offset + p.PAGE]
+            if frame.offset + p.PAGE >= len(data):
+                self._dumps.pop(link, None)
+            link.send(p.Dumped(frame.ident, len(data), part))
+
+        def done(good: bool) -> None:
+            if good:
+                self._dumps[link] = self.node.machine.save()
+                told()
+            else:
+                link.send(p.Dumped(frame.ident, 0, b"", "unavailable"))
+
+        if frame.offset:
+            told()
+            return
+        try:
+            self.node.read(self._now(), done)
+        except RefusedError:
+            done(False)
+
+    # --- Reads and watches ---------------------------------------------------------------------------------
+    def _get(self, link: Link, frame: p.Get) -> None:
+        def done(good: bool) -> None:
+            if timer:
+                timer.cancel()
+            if good:
+                link.send(self._page(frame))
+            else:
+                link.send(p.Page(frame.ident, 0, {}, error="unavailable"))
+
+        timer: asyncio.TimerHandle | None = None
+        if frame.local:
+            done(True)
+            return
+        try:
+            token = self.node.read(self._now(), done)
+        except RefusedError:
+            done(False)
+            return
+
+        def too_late() -> None:
+            self.node.forget(token)
+            link.send(p.Page(frame.ident, 0, {}, error="unavailable"))
+
+        timer = self._loop.call_later(READ_S, too_late)
+
+    def _page(self, frame: p.Get) -> p.Page:
+        machine = self.node.machine
+        keys = machine.keys(frame.prefix)
+        if frame.exact:
+            keys = [frame.prefix] if frame.prefix in machine.state.values else []
+        values: dict[str, kv.Value] = {}
+        room, more = p.PAGE, False
+        for key in keys:
+            if key <= frame.after and frame.after:
+                continue
+            if room <= 0:
+                more = True
+                break
+            values[key] = machine.state.values[key]
+            room -= len(key) + len(values[key].value) + 32
+        return p.Page(frame.ident, machine.state.revision, values, more, "", self.age_ms)
+
+    @property
+    def age_ms(self) -> float:
+        """How long ago this replica heard of a leader; 0 while it does."""
+        return 0.0 if self.node.core.leader else self._now() - self._current
+
+    def _watch(self, link: Link, frame: p.Watch) -> None:
+        if sum(key[0] is link for key in self._watches) >= WATCHES:
+            link.send(p.Events(frame.ident, 0, (), compacted=-1))
+            return
+        watch = self._watches[link, frame.ident] = _Watch(link, frame, frame.revision - 1)
+        self._tell(watch, first=True)
+
+    def _applied(self) -> None:
+        for watch in list(self._watches.values()):
+            self._tell(watch)
+
+    def _tell(self, watch: _Watch, first: bool = False) -> None:
+        """What has changed since this watch was told last. A client that does not read is cut off."""
+        machine = self.node.machine
+        revision = machine.state.revision
+        if revision <= watch.told and not first:
+            return
+        try:
+            events = machine.since(watch.told + 1, watch.request.prefix) if watch.told < revision else []
+        except kv.CompactedError as error:
+            del self._watches[watch.link, watch.request.ident]
+            watch.link.send(p.Events(watch.request.ident, revision, (), compacted=error.oldest))
+            return
+        watch.told = max(watch.told, revision)
+        ident = watch.request.ident
+        for part, upto in _parts(events, revision):
+            if not watch.link.send(p.Events(ident, upto, part)):
+                watch.link.close()
+                return
+        if first and not events:
+            watch.link.send(p.Events(ident, revision, ()))
+
+    def standing(self, ident: int = 0) -> p.Standing:
+        """How it stands."""
+        node, core = self.node, self.node.core
+        state = node.machine.state
+        return p.Standing(
+            ident,
+            self.setting.name,
+            self.setting.cluster,
+            core.role.value,
+            core.leader,
+            core.hard.term,
+            core.commit,
+            core.applied,
+            core.log.last,
+            state.revision,
+            state.size,
+            core.members,
+            core.hard.recovering,
+            node.broken,
+            self.age_ms,
+            {name: other.match for name, other in core.progress.items()} if node.leads else {},
+        )
+
+
+def _size(command: kv.Command) -> int:
+    """Bytes of a command, near enough."""
+    if not isinstance(command.action, kv.Txn):
+        return 0
+    return sum(len(op.key) + (len(op.value) if isinstance(op, kv.Put) else 0) for op in command.action.ops)
+
+
+def _parts(events: list[kv.Event], revision: int) -> list[tuple[tuple[kv.Event, ...], int]]:
+    """Events in frames that are not too long, cut between revisions; with each, up to where it tells all."""
+    parts: list[tuple[tuple[kv.Event, ...], int]] = []
+    begin, size = 0, 0
+    for at, event in enumerate(events):
+        size += len(event.key) + (len(event.value.value) if event.value else 0) + 64
+        last = at + 1 == len(events)
+        if last or (size >= p.PAGE and events[at + 1].revision != event.revision):
+            parts.append((tuple(events[begin : at + 1]), revision if last else event.revision))
+            begin, size = at + 1, 0
+    return parts
--- /dev/null
+++ b/basaltpoint/store/setting.py
@@ -0,0 +1,52 @@
+"""From a checked `[store]` table to a replica's settings, or to a client."""
+
+from __future__ import annotations
+
+from basaltpoint.config.storage import Storage
+from basaltpoint.store.client import Client, Endpoint
+from basaltpoint.store.messages import Member, Members
+from basaltpoint.store.node import Sizes
+from basaltpoint.store.raft import Options
+from basaltpoint.store.replica import Setting
+from basaltpoint.store.transport import Tls
+
+
+def tls(storage: Storage) -> Tls | None:
+    """The operator's files."""
+    files = storage.files
+    return Tls(files.cert, files.key, files.authority) if files else None
+
+
+def initial(storage: Storage) -> Members:
+    """The members of a new cluster; none for a replica that joins one."""
+    table = storage.table
+    if table.join:
+        return Members()
+    listed = tuple(Member(name, address) for name, address in storage.members)
+    return Members(listed or (Member(table.name, table.advertise or table.listen),))
+
+
+def replica(storage: Storage) -> Setting:
+    """What the replica of this file runs on."""
+    table = storage.table
+    advertised = table.advertise or dict(storage.members).get(table.name, "")
+    return Setting(
+        name=table.name,
+        cluster=table.cluster,
+        folder=storage.folder,
+        listen=table.listen,
+        initial=initial(storage),
+        tls=tls(storage),
+        options=Options(table.election_ms, table.heartbeat_ms),
+        sizes=Sizes(snapshot_entries=table.snapshot_entries, state_bytes=table.state_mb << 20),
+        advertise=advertised,
+    )
+
+
+def client(storage: Storage) -> Client:
+    """A client of this host's replica, and of the other members where it fails or is none."""
+    table = storage.table
+    endpoints = [Endpoint(address, name) for name, address in storage.members if name != table.name]
+    if table.name:
+        endpoints.insert(0, Endpoint(str(storage.socket)))
+    return Client(endpoints, table.cluster, tls(storage))
