--- a/basaltpoint/cli.py
+++ b/basaltpoint/cli.py
@@ -16,8 +16,13 @@
 def _check(args: argparse.Namespace) -> int:
     from basaltpoint.config.build import load
     from basaltpoint.config.decode import FileError
+    from basaltpoint.daemon.held import check_local, first_document, stored
 
     try:
+        if stored(args.config) and first_document(args.config) is None:
+            check_local(args.config)
+            print(f"{args.config}: good; the store holds the rest: basaltpoint config show")
+            return 0
         setup = load(args.config)
     except FileError as error:
         print(error, file=sys.stderr)
--- a/basaltpoint/config/schema.py
+++ b/basaltpoint/config/schema.py
@@ -381,7 +381,7 @@
             ge=50,
             le=60000,
         ),
-    ] = 300.0
+    ] = 250.0
     heartbeat_ms: Annotated[
         float,
         described(
--- a/basaltpoint/daemon/held.py
+++ b/basaltpoint/daemon/held.py
@@ -11,9 +11,11 @@
 from pathlib import Path
 from typing import Any
 
+from basaltpoint.config import storage
 from basaltpoint.config.build import Numbers, Setup, assemble
-from basaltpoint.config.decode import Collector, read_toml
-from basaltpoint.config.shared import Shared, parse_document, parse_server, shared_tables
+from basaltpoint.config.decode import Collector, decode, read_toml, shown
+from basaltpoint.config.schema import Clients, Limits, StoreTable
+from basaltpoint.config.shared import LOCAL, Shared, parse_document, parse_server, shared_tables
 
 PREFIX = "shared/"
 DOCUMENT = PREFIX + "document"
@@ -113,6 +115,30 @@
     return path.read_bytes() if shared_tables(raw) else None
 
 
+def check_local(path: Path) -> None:
+    """Check a file whose shared tables the store holds; FileError with every problem found."""
+    out = Collector(str(path))
+    raw = read_toml(path, out)
+    out.check()
+    for key in raw:
+        if key not in LOCAL:
+            out.add(
+                key,
+                "beside a store, with other tables missing",
+                "all of a limiter's tables, or " + ", ".join(LOCAL),
+            )
+    for key, kind in (("limits", Limits), ("clients", Clients), ("store", StoreTable)):
+        if isinstance(table := raw.get(key, {}), dict):
+            made = decode(kind, table, out, key)
+            if isinstance(made, StoreTable):
+                storage.check(made, path.parent, out)
+        else:
+            out.add(key, f"found {shown(table)}", "a table")
+    if not isinstance(raw.get("listen"), str):
+        out.add("listen", "missing" if "listen" not in raw else "no text", "HOST:PORT")
+    out.check()
+
+
 def check_document(path: Path) -> bytes:
     """A file's text, once all of it is right as a limiter's; FileError with every problem found."""
     out = Collector(str(path))
--- a/basaltpoint/daemon/keeper.py
+++ b/basaltpoint/daemon/keeper.py
@@ -243,6 +243,7 @@
             except StoreError as error:
                 if error.error != "lease":
                     self._tell(f"store: {error}")
+                    await asyncio.sleep(RENEW_S)
                 self._lease = self._long_lease = 0
                 self._told_own = None
                 self._relay.balances.forget()
--- a/basaltpoint/store/client.py
+++ b/basaltpoint/store/client.py
@@ -17,7 +17,7 @@
 
 T = TypeVar("T")
 ANSWER_S = 3.0  # for one answer; then another replica is asked the same
-AGAIN_S = (0.02, 0.5)  # first and longest wait between two tries
+AGAIN_S = (0.02, 0.1)  # first and longest wait between two tries: a new leader is there within a second
 
 
 class StoreError(Exception):
--- a/basaltpoint/store/raft.py
+++ b/basaltpoint/store/raft.py
@@ -40,7 +40,7 @@
 class Options:
     """Times in ms. The election time is drawn from `election_ms` to twice that."""
 
-    election_ms: float = 300.0
+    election_ms: float = 250.0
     heartbeat_ms: float = 50.0
 
 
--- a/tests/test_store_daemon.py
+++ b/tests/test_store_daemon.py
@@ -21,7 +21,7 @@
 from basaltpoint.config.decode import FileError
 from basaltpoint.daemon import keeper as keepers
 from basaltpoint.daemon.balances import Balance, Balances, SignOfLife, down, recall
-from basaltpoint.daemon.held import DOCUMENT, DRAIN, SERVER, Change, Held, check_document
+from basaltpoint.daemon.held import DOCUMENT, DRAIN, SERVER, Change, Held, check_document, check_local
 from basaltpoint.daemon.keeper import StartError
 from basaltpoint.daemon.standalone import Standalone
 from basaltpoint.interface import Plan, Standing
@@ -498,6 +498,22 @@
 
 
 # --- The file -----------------------------------------------------------------------------------------
+def test_a_file_whose_shared_tables_the_store_holds_is_checked_for_the_rest(tmp_path: Path) -> None:
+    path = tmp_path / "l.toml"
+    path.write_text('listen = "127.0.0.1:0"\n[store]\n')
+    check_local(path)
+    path.write_text('[limits]\nsockets = 1\n[clients]\nidel_s = 1\n[store]\nname = ""\n')
+    with pytest.raises(FileError) as error:
+        check_local(path)
+    for text in (
+        "limits.sockets: found 1",
+        'did you mean "idle_s"?',
+        "store.members: none",
+        "listen: missing",
+    ):
+        assert text in str(error.value)
+
+
 @pytest.mark.parametrize(
     ("table", "text"),
     [
@@ -508,7 +524,10 @@
         ),
         ('name = "a"\nmembers = ["a@127.0.0.1:1", "b@127.0.0.1:2"]', "store.listen: missing"),
         ('members = ["b@nowhere"]', "store.members[0]: found"),
-        ("heartbeat_ms = 200", "store.heartbeat_ms: found 200; allowed: up to a third of election_ms, 100"),
+        (
+            "heartbeat_ms = 200",
+            "store.heartbeat_ms: found 200; allowed: up to a third of election_ms, 83.3333",
+        ),
         ('listen = "127.0.0.1:0"', "store.cert: missing"),
         ('listen = "127.0.0.1:0"\ncert = "no.pem"', 'store.cert: found "no.pem", which is no file'),
         ("start = 1", 'store.start: found 1; allowed: one of "wait", "cached"'),
--- a/tests/test_store_replicas.py
+++ b/tests/test_store_replicas.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import pytest
+from standalone import config
 from storeprocs import PATIENCE_S, Authority, Cluster, cluster
 
 from basaltpoint.store import protocol as p
@@ -321,13 +322,13 @@
         asyncio.run(story(made))
 
 
-async def command(*args: str) -> tuple[int, str]:
-    """Run `basaltpoint store ...`; its exit code, and what it wrote."""
+async def command(*args: str, top: tuple[str, ...] = ("store",)) -> tuple[int, str]:
+    """Run `basaltpoint store ...`, or another; its exit code, and what it wrote."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "basaltpoint",
-        "store",
+        *top,
         *args,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
@@ -336,6 +337,41 @@
     return process.returncode or 0, out.decode()
 
 
+def test_the_commands_tell_what_was_done_and_what_is_refused(tmp_path: Path) -> None:
+    async def story(made: Cluster) -> None:
+        await made.leader()
+        file = str(made.path / "r0" / "store.toml")
+
+        async def tell(*args: str, top: tuple[str, ...] = ("store",)) -> tuple[int, str]:
+            return await command(*args, "--config", file, top=top)
+
+        assert await tell("put", "a", "1") == (0, "revision 1\n")
+        assert await tell("get", "a") == (0, "1\n") and await tell("get", "b") == (1, "")
+        assert await tell("put", "a", "2", "--revision", "0") == (1, "a: found revision 1, expected 0\n")
+        code, text = await tell("status")
+        assert code == 0 and "leader    r0" in text
+        assert (await tell("drain", "s1", top=()))[0] == 0
+        assert "shared/drain/s1" in (await tell("get", "shared/drain/", "--prefix"))[1]
+        assert await tell("undrain", "s1", top=()) == (0, "s1 drains no more\n")
+        assert await tell("undrain", "s1", top=()) == (1, "s1 does not drain\n")
+        new = tmp_path / "new.toml"
+        new.write_text(config("127.0.0.1:1", routes="").replace('pool = "main"', 'pool = "mian"', 1))
+        code, text = await tell("push", str(new), top=("config",))
+        assert code == 2 and 'found "mian", which is no pool' in text
+        new.write_text(config("127.0.0.1:1"))
+        assert (await tell("push", str(new), top=("config",)))[0] == 0
+        code, text = await tell("push", str(new), "--revision", "1", top=("config",))
+        assert code == 1 and "expected 1" in text
+        assert 'name = "main"' in (await tell("show", top=("config",)))[1]
+        assert (await tell("delete", "a"))[0] == 0
+        made.kill("r0")
+        code, text = await tell("get", "a", "--within", "0.2")
+        assert code == 1 and "no replica answers; tried for 0.2 s" in text
+
+    with cluster(tmp_path, 1) as made:
+        asyncio.run(story(made))
+
+
 def test_a_whole_cluster_is_made_again_from_a_backup(tmp_path: Path) -> None:
     backup = tmp_path / "cluster.bak"
 
