Store: removals of old segments are synced one by one; unsynced names may survive in any order

The simulated disk kept unsynced names in their order, which a file system need not do; then a later segment could be gone and an earlier one there, and the replica would stop for damage that is none.

Change: the simulated disk loses any of the unsynced names; each removal is synced before the next. A test starts one in doubt while it is cut off.

--- a/basaltpoint/store/disk.py
+++ b/basaltpoint/store/disk.py
@@ -239,6 +239,8 @@
                 self._files.remove(name)
         while len(self._segments) > 1 and (all_but_last or self._segments[0].last <= base):
             self._files.remove(self._segments.pop(0).name)
+            # Else a later one could be gone after a power failure, and an earlier one be there.
+            self._files.sync_names()
             self._point("forget.removed")
 
 
--- a/tests/storesim.py
+++ b/tests/storesim.py
@@ -78,18 +78,25 @@
         self.now[name].synced = len(self.now[name].data)
 
     def rename(self, old: str, new: str) -> None:
-        self._do(lambda names: names.update({new: names.pop(old)}))
+        file = self.now[old]
+
+        def move(names: dict[str, _File]) -> None:
+            names.pop(old, None)
+            names[new] = file
+
+        self._do(move)
 
     def remove(self, name: str) -> None:
-        self._do(lambda names: names.pop(name))
+        self._do(lambda names: names.pop(name, None))
 
     def sync_names(self) -> None:
         self.kept, self._ops = dict(self.now), []
 
     def lose(self, rng: random.Random) -> None:
-        """Power fails: of names and bytes that were not synced some first part is left."""
-        for op in self._ops[: rng.randint(0, len(self._ops))]:
-            op(self.kept)
+        """Power fails: of bytes that were not synced some first part is left, of names any."""
+        for op in self._ops:
+            if rng.random() < 0.5:
+                op(self.kept)
         self.now, self._ops = dict(self.kept), []
         for file in self.now.values():
             left = rng.randint(file.synced, len(file.data))
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -385,6 +385,21 @@
     assert sim.write("a", "1").error == ""
 
 
+def test_one_in_doubt_asks_until_it_is_told() -> None:
+    sim = Rig()
+    holder = sim.followers()[0]
+    old = holder.files.copy()
+    sim.fill(5)
+    holder.node, holder.files, holder.suspect = None, old, True
+    holder.run += 1
+    sim.isolate(holder)
+    sim.start(holder)
+    sim.spend(20)  # what it asked at once was lost
+    sim.cut.clear()
+    sim.wait(lambda: not sim.node(holder).core.hard.recovering, 5_000)
+    sim.wait(lambda: sim.node(holder).machine.state == sim.node(sim.lead).machine.state)
+
+
 def test_a_leader_whose_disk_is_full_acknowledges_nothing_and_another_takes_over() -> None:
     sim = Rig()
     old = sim.lead
