Store read once more: leases during a handover, backups bounded in time, one piece for twins

Found by reading the change again. Faults: a lease that ran out while the leadership was handed over raised out of a replica's turn; a backup's read had no bound in time and stayed in the replica; a first document that the store refuses was passed over in silence; SIGHUP before the start was through failed. Written twice: who leads, what is done with commands whose end is not known, the read with its bound, an event's weight, the line that tells the age, the balances of one write. The doubt about a disk kept two meanings in one value.

--- a/basaltpoint/daemon/keeper.py
+++ b/basaltpoint/daemon/keeper.py
@@ -23,7 +23,7 @@
 
 from basaltpoint.config.schema import Start
 from basaltpoint.config.storage import Storage
-from basaltpoint.daemon.balances import Balance, Balances, SignOfLife, down
+from basaltpoint.daemon.balances import BUDGET, Balance, Balances, SignOfLife, down
 from basaltpoint.daemon.held import DOCUMENT, PREFIX, Change, Held, first_document
 from basaltpoint.store import setting
 from basaltpoint.store.client import StoreError, UnavailableError
@@ -115,8 +115,13 @@
             raise StartError(
                 f"{self.path}: the store holds no configuration; put it there: basaltpoint config push FILE"
             )
-        with contextlib.suppress(StoreError):  # another limiter was first
+        try:
             await self.client.txn([Put(DOCUMENT, text)], [Check(DOCUMENT, 0)], WAIT_S)
+        except UnavailableError:
+            raise
+        except StoreError as error:
+            if error.error != "check":  # else another limiter was first
+                raise StartError(f"{self.path}: {error}") from None
         await self._read(WAIT_S)
 
     async def _read_own(self) -> None:
@@ -190,6 +195,9 @@
             self._told = now
             log.warning("%s", text)
 
+    def _tell_age(self, error: UnavailableError) -> None:
+        self._tell(f"store: {error}; serving on from what is {self.age_s:.1f} s old, changes are refused")
+
     # --- While it runs ------------------------------------------------------------------------------------
     def follow(self, changed: Callable[[Change], str], relay: RelayView) -> None:
         """Follow the store from now on; `changed` takes up what came, and tells a problem or nothing."""
@@ -217,9 +225,7 @@
                 with contextlib.suppress(UnavailableError):
                     self._take(await self._read(TELL_S))
             except UnavailableError as error:
-                self._tell(
-                    f"store: {error}; serving on from what is {self.age_s:.1f} s old, changes are refused"
-                )
+                self._tell_age(error)
 
     def _take(self, change: Change) -> None:
         if not (change.build or change.drains):
@@ -234,9 +240,7 @@
                 await self._renew()
                 self._known_current()
             except UnavailableError as error:
-                self._tell(
-                    f"store: {error}; serving on from what is {self.age_s:.1f} s old, changes are refused"
-                )
+                self._tell_age(error)
                 self.client.drop()  # its watch may hang on one that is cut off, too
                 await asyncio.sleep(0.2)
                 continue
@@ -285,8 +289,8 @@
             Put(f"balance/{self.name}/{account}", msgspec.msgpack.encode(balance), self._long_lease)
             for account, balance in due.items()
         ]
-        for at in range(0, len(ops), 200):
-            await self.client.txn(ops[at : at + 200], within_s=STOP_S)
+        for at in range(0, len(ops), BUDGET):
+            await self.client.txn(ops[at : at + BUDGET], within_s=STOP_S)
 
     async def _put_learned(self) -> None:
         if pools := self._relay.learned():
--- a/basaltpoint/daemon/standalone.py
+++ b/basaltpoint/daemon/standalone.py
@@ -76,6 +76,9 @@
 
     def reload(self) -> bool:
         """Take up the file as it is now; one with any problem changes nothing, and each is told."""
+        if self._server is None:
+            log.error("nothing is served yet; the file is read when the start goes on")
+            return False
         try:
             setup = self.from_store() if self.keeper else build.load(self.path, self._numbers)
             self._same(setup)
@@ -143,17 +146,13 @@
     stopping = loop.create_task(stop.wait())
     # A start that waits for the store can be ended, too.
     await asyncio.wait([starting, stopping], return_when=asyncio.FIRST_COMPLETED)
-    if not starting.done():
+    if not starting.done() or starting.exception():
+        failed = starting.exception() if starting.done() else None
         starting.cancel()
-        if limiter.keeper:
-            await limiter.keeper.stop()
+        await limiter.close()
+        if failed:
+            raise failed
         return
-    try:
-        starting.result()
-    except BaseException:
-        if limiter.keeper:
-            await limiter.keeper.stop()
-        raise
     await stopping
     log.info("draining")
     await limiter.drain()
--- a/basaltpoint/store/client.py
+++ b/basaltpoint/store/client.py
@@ -8,14 +8,13 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 from functools import partial
-from typing import Any, TypeVar
+from typing import Any
 
 from basaltpoint.store import machine as kv
 from basaltpoint.store import protocol as p
 from basaltpoint.store.machine import Check, CompactedError, Delete, Event, Put, Result, Value
 from basaltpoint.store.transport import Link, Tls, connect
 
-T = TypeVar("T")
 ANSWER_S = 3.0  # for one answer; then another replica is asked the same
 AGAIN_S = (0.02, 0.1)  # first and longest wait between two tries: a new leader is there within a second
 
--- a/basaltpoint/store/machine.py
+++ b/basaltpoint/store/machine.py
@@ -345,11 +345,11 @@
     def _keep(self, events: list[Event]) -> None:
         for event in events:
             self.events.append(event)
-            self._event_bytes += _weight(event)
+            self._event_bytes += weight(event)
         while self.events and (len(self.events) > EVENTS or self._event_bytes > EVENT_BYTES):
             gone = self.events[0].revision
             while self.events and self.events[0].revision == gone:  # a transaction is told whole
-                self._event_bytes -= _weight(self.events.popleft())
+                self._event_bytes -= weight(self.events.popleft())
             self.oldest = gone + 1
 
     def since(self, revision: int, prefix: str) -> list[Event]:
@@ -378,7 +378,8 @@
         self._event_bytes, self.oldest = 0, self.state.revision + 1
 
 
-def _weight(event: Event) -> int:
+def weight(event: Event) -> int:
+    """Bytes that an event takes, near enough."""
     return len(event.key) + (len(event.value.value) if event.value else 0) + 64
 
 
--- a/basaltpoint/store/node.py
+++ b/basaltpoint/store/node.py
@@ -8,6 +8,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 
 from basaltpoint.store import machine as kv
@@ -113,7 +114,8 @@
         if self.leads and now >= self._leases_at:
             self._leases_at = now + LEASES_MS
             for expire in self._clock.due(now, self.machine.state.leases):
-                self.propose(now, kv.Command(expire), lambda result: None)
+                with suppress(RefusedError):  # while it hands over; the next leader counts anew
+                    self.propose(now, kv.Command(expire), lambda result: None)
 
     @property
     def leads(self) -> bool:
@@ -139,9 +141,7 @@
             self._led = self.leads
             self._clock.reset()
             if not self._led:
-                pending, self._pending = self._pending, {}
-                for _, done in pending.values():
-                    done(None)
+                self._give_up()
         if not self.broken:
             self._compact()
 
@@ -175,7 +175,6 @@
 
     def _apply(self, entry: Entry) -> None:
         self._since += len(entry.data)
-        result = None
         if entry.kind is Kind.COMMAND:
             result = self.machine.apply(entry.index, entry.data)
         else:
@@ -202,11 +201,16 @@
             "store: %s; this replica votes and acknowledges no more until it is started again", self.broken
         )
         self.core.fail()
-        for _, done in self._pending.values():
-            done(None)
-        for read in self._reads.values():
+        self._give_up()
+        reads, self._reads, self._ready = self._reads, {}, []
+        for read in reads.values():
             read(False)
-        self._pending, self._reads, self._ready = {}, {}, []
+
+    def _give_up(self) -> None:
+        """Whether what is under way takes effect, this replica can't tell any more."""
+        pending, self._pending = self._pending, {}
+        for _, done in pending.values():
+            done(None)
 
     # --- Compaction --------------------------------------------------------------------------------------
     def _compact(self) -> None:
@@ -234,6 +238,3 @@
         self._shot = Snapshot(index, term, members, self.machine.save())
         self._since = 0
         self._writer = self.disk.snapshot(self._shot, core.log.snapshot.index)
-
-
-__all__ = ["Node", "RefusedError", "Sizes"]
--- a/basaltpoint/store/raft.py
+++ b/basaltpoint/store/raft.py
@@ -173,11 +173,14 @@
         return sum(name in names for name in self.members.voters) >= self.members.quorum
 
     # --- What is asked of it -------------------------------------------------------------------------
-    def propose(self, now: float, data: bytes, kind: Kind = Kind.COMMAND) -> int:
-        """Append a command where this replica leads; its index. RefusedError elsewhere."""
+    def _must_lead(self, now: float) -> None:
         self.tick(now)
         if self.role is not Role.LEADER:
             raise RefusedError("this replica does not lead")
+
+    def propose(self, now: float, data: bytes, kind: Kind = Kind.COMMAND) -> int:
+        """Append a command where this replica leads; its index. RefusedError elsewhere."""
+        self._must_lead(now)
         if self._transfer:
             raise RefusedError("the leadership is being handed over")
         index = self.log.last + 1
@@ -207,9 +210,7 @@
 
     def change(self, now: float, members: Members) -> int:
         """Begin a change of membership [4.1]; its index. RefusedError says what stands against it."""
-        self.tick(now)
-        if self.role is not Role.LEADER:
-            raise RefusedError("this replica does not lead")
+        self._must_lead(now)
         if self.commit < self._first or self.members_at > self.commit:
             raise RefusedError("another change is not committed yet")
         moved = set(members.voters) ^ set(self.members.voters)
@@ -233,9 +234,7 @@
 
     def transfer(self, now: float, name: str) -> None:
         """Hand the leadership over [3.10]; RefusedError where that can't be."""
-        self.tick(now)
-        if self.role is not Role.LEADER:
-            raise RefusedError("this replica does not lead")
+        self._must_lead(now)
         if name not in self.members.voters:
             raise RefusedError(f"{name} is no voter")
         if name == self.me:
@@ -326,9 +325,8 @@
         if isinstance(message, m.Hello | m.HelloTold) or message.term == term:
             return False
         if message.term < term:
-            if isinstance(
-                message, m.Append | m.Chunk
-            ):  # it led once, or asks for votes in vain: tell the term
+            # It led once, or asks for votes in vain: tell the term.
+            if isinstance(message, m.Append | m.Chunk):
                 self._post(sender, m.Appended(term, False, 0, message.round))
             elif isinstance(message, m.Vote):
                 self._post(sender, m.Voted(term, False, message.pre))
@@ -692,7 +690,7 @@
         self._ask()
 
     def _ask(self) -> None:
-        if self.hard.goal == (0, 0):
+        if self._unsure():
             for name in self.members.voters:
                 if name != self.me:
                     self._post(name, m.Hello(self.hard.term))
@@ -711,17 +709,13 @@
             return
         term = max(self.hard.term, *(each.term for each in told))
         goal = max((each.last_term, each.last_index) for each in told)
-        self.hard = Hard(term, NOBODY, True, goal)
+        self.hard = Hard(term, NOBODY, goal != (0, 0), goal)  # where nobody holds anything, nothing is lost
         self._recovered()
 
     def _recovered(self) -> None:
-        """Whether all is held again that may have been acknowledged."""
+        """End the doubt where all is held again that may have been acknowledged."""
         hard = self.hard
-        if not hard.recovering or (self._unsure() and not self._told_nothing()):
+        if not hard.recovering or self._unsure():
             return
         if (self.log.term(self.stable) or 0, self.stable) >= hard.goal:
             self.hard = Hard(hard.term, hard.vote)
-
-    def _told_nothing(self) -> bool:
-        """Whether enough others have said that they hold nothing at all."""
-        return len(self._hellos) >= len(self.members.voters) - self.members.quorum + 1
--- a/basaltpoint/store/replica.py
+++ b/basaltpoint/store/replica.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from basaltpoint.store import machine as kv
@@ -58,7 +58,7 @@
     link: Link
     ident: int
     to: str
-    timer: asyncio.TimerHandle | None = field(default=None)
+    timer: asyncio.TimerHandle | None = None
 
 
 class Replica:
@@ -339,37 +339,35 @@
 
         if frame.offset:
             told()
-            return
-        try:
-            self.node.read(self._now(), done)
-        except RefusedError:
-            done(False)
+        else:
+            self._when_current(done)
 
     # --- Reads and watches ---------------------------------------------------------------------------------
-    def _get(self, link: Link, frame: p.Get) -> None:
-        def done(good: bool) -> None:
-            if timer:
-                timer.cancel()
-            if good:
-                link.send(self._page(frame))
-            else:
-                link.send(p.Page(frame.ident, 0, {}, error="unavailable"))
+    def _when_current(self, done: Callable[[bool], None]) -> None:
+        """Call with True once the state here is current, with False where that can't be told in time."""
 
-        timer: asyncio.TimerHandle | None = None
-        if frame.local:
-            done(True)
-            return
-        try:
-            token = self.node.read(self._now(), done)
-        except RefusedError:
-            done(False)
-            return
+        def ended(good: bool) -> None:
+            timer.cancel()
+            done(good)
 
         def too_late() -> None:
             self.node.forget(token)
-            link.send(p.Page(frame.ident, 0, {}, error="unavailable"))
+            done(False)
 
         timer = self._loop.call_later(READ_S, too_late)
+        try:
+            token = self.node.read(self._now(), ended)
+        except RefusedError:
+            ended(False)
+
+    def _get(self, link: Link, frame: p.Get) -> None:
+        def done(good: bool) -> None:
+            link.send(self._page(frame) if good else p.Page(frame.ident, 0, {}, error="unavailable"))
+
+        if frame.local:
+            done(True)
+        else:
+            self._when_current(done)
 
     def _page(self, frame: p.Get) -> p.Page:
         machine = self.node.machine
@@ -461,7 +459,7 @@
     parts: list[tuple[tuple[kv.Event, ...], int]] = []
     begin, size = 0, 0
     for at, event in enumerate(events):
-        size += len(event.key) + (len(event.value.value) if event.value else 0) + 64
+        size += kv.weight(event)
         last = at + 1 == len(events)
         if last or (size >= p.PAGE and events[at + 1].revision != event.revision):
             parts.append((tuple(events[begin : at + 1]), revision if last else event.revision))
--- a/tests/test_store_daemon.py
+++ b/tests/test_store_daemon.py
@@ -146,6 +146,27 @@
     run(test())
 
 
+def test_a_document_that_the_store_refuses_is_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        text = config("127.0.0.1:1", extra=ALONE) + "#" * (1 << 20)
+        with pytest.raises(StartError, match="allowed: 1048576"):
+            async with limiter(tmp_path / "l.toml", text):
+                pass
+
+    run(test())
+
+
+def test_a_reload_before_the_start_is_through_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        path = tmp_path / "l.toml"
+        path.write_text(config("127.0.0.1:1", extra=ALONE))
+        made = Standalone(path, seed=1)
+        assert not made.reload()
+        await made.close()
+
+    run(test())
+
+
 def test_the_replica_beside_a_limiter_is_started_again(tmp_path: Path) -> None:
     async def test() -> None:
         async with backend(good) as server:
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -437,6 +437,19 @@
     assert result.error == "lease" and "ended" in result.text
 
 
+def test_a_lease_that_runs_out_while_the_leader_hands_over_disturbs_nothing() -> None:
+    sim = Rig()
+    granted = sim.propose(sim.lead, Command(kv.Grant(100)))
+    sim.wait(lambda: bool(granted))
+    sim.write("holder", "me", lease=granted[0].ident if granted[0] else 0)
+    lead, target = sim.lead, sim.followers()[0]
+    sim.isolate(target)  # the handover takes its whole time
+    sim.on(lead, lambda node, now: node.core.transfer(now, target.name))
+    sim.spend(1_000)
+    sim.cut.clear()
+    sim.wait(lambda: "holder" not in sim.node(sim.lead).machine.state.values, 10_000)
+
+
 def test_a_lease_outlives_a_change_of_leader_and_then_ends() -> None:
     sim = Rig()
     granted = sim.propose(sim.lead, Command(kv.Grant(4_000)))
