Drains and documents: the commands stand where the shared keys are known

Cause: `drain` and `undrain` stood in the store and wrote the daemon's keys and the reading of its document a second time; `config` ran its client as `store` does, word for word.

Change: the four commands are in daemon/document.py with the keys of daemon/held.py and the document's own parser; they run through the store's `ask`. Nothing is told otherwise.

--- a/basaltpoint/cli.py
+++ b/basaltpoint/cli.py
@@ -71,7 +71,7 @@
     return run(args)
 
 
-def _config(args: argparse.Namespace) -> int:
+def _shared(args: argparse.Namespace) -> int:
     from basaltpoint.daemon.document import run
 
     return run(args)
@@ -102,11 +102,11 @@
     store = commands.add_parser("store", help="the replicated store: run, status, members, backup, keys")
     store.set_defaults(run=_store)
     drain = commands.add_parser("drain", help="have all limiters of a store send nothing new to a server")
-    drain.set_defaults(run=_store)
+    drain.set_defaults(run=_shared)
     undrain = commands.add_parser("undrain", help="end that")
-    undrain.set_defaults(run=_store)
+    undrain.set_defaults(run=_shared)
     document = commands.add_parser("config", help="the configuration that all limiters of a store share")
-    document.set_defaults(run=_config)
+    document.set_defaults(run=_shared)
     # Their arguments are theirs to add, and their libraries are loaded only where they run.
     if argv[:1] == ["load"]:
         from basaltpoint.load.command import add_arguments as add_load
@@ -125,7 +125,7 @@
 
         add_config(document)
     elif argv[:1] in (["drain"], ["undrain"]):
-        from basaltpoint.store.command import add_drain_arguments
+        from basaltpoint.daemon.document import add_drain_arguments
 
         add_drain_arguments(drain if argv[0] == "drain" else undrain, argv[0] == "drain")
     return top
--- a/basaltpoint/daemon/document.py
+++ b/basaltpoint/daemon/document.py
@@ -1,17 +1,19 @@
-"""`basaltpoint config`: the document that all limiters of a store share."""
+"""`basaltpoint config`, `drain` and `undrain`: what all limiters of a store share."""
 
 from __future__ import annotations
 
 import argparse
-import asyncio
+import json
 import sys
+import time
 from pathlib import Path
 
 from basaltpoint.config import storage as storages
-from basaltpoint.config.decode import FileError
-from basaltpoint.daemon.held import DOCUMENT, check_document
-from basaltpoint.store import setting
-from basaltpoint.store.client import Client, StoreError
+from basaltpoint.config.decode import Collector, FileError
+from basaltpoint.config.shared import parse_document
+from basaltpoint.daemon.held import DOCUMENT, DRAIN, PREFIX, SERVER, check_document
+from basaltpoint.store.client import Client
+from basaltpoint.store.command import add_common, ask
 from basaltpoint.store.machine import Check, Put
 
 
@@ -25,46 +27,42 @@
         type=int,
         help="only where the document is of that revision; without it, the present one",
     )
+    push.set_defaults(act=_push)
     show = commands.add_parser("show", help="print the document")
+    show.set_defaults(act=_show)
     for command in (push, show):
-        command.add_argument(
-            "--config", type=Path, default=Path("basaltpoint.toml"), help="file with [store]"
+        add_common(command)
+
+
+def add_drain_arguments(parser: argparse.ArgumentParser, drain: bool) -> None:
+    """Those of `drain` and `undrain`."""
+    parser.add_argument("server", help="its name")
+    if drain:
+        parser.add_argument(
+            "--force", action="store_true", help="though no limiter knows a server of this name"
         )
-        command.add_argument("--within", type=float, default=10.0, metavar="S", help="how long to try (10)")
+    parser.set_defaults(act=_drain if drain else _undrain)
+    add_common(parser)
 
 
 def run(args: argparse.Namespace) -> int:
     """The exit code: 1 where the store refuses, 2 where a file is wrong."""
     try:
         storage = storages.load(args.config)
-        text = check_document(args.file) if args.config_command == "push" else b""
+        if args.act is _push:
+            args.text = check_document(args.file)
     except FileError as error:
         print(error, file=sys.stderr)
         return 2
-    client_of = setting.client
+    return ask(storage, args)
 
-    async def act() -> int:
-        client = client_of(storage)
-        try:
-            if args.config_command == "push":
-                return await _push(client, text, args)
-            return await _show(client, args)
-        finally:
-            client.close()
 
-    try:
-        return asyncio.run(act())
-    except StoreError as error:
-        print(error, file=sys.stderr)
-        return 1
-
-
-async def _push(client: Client, text: bytes, args: argparse.Namespace) -> int:
+async def _push(client: Client, args: argparse.Namespace) -> int:
     revision = args.revision
     if revision is None:
         held = await client.get(DOCUMENT, within_s=args.within)
         revision = held.changed if held else 0
-    result = await client.txn([Put(DOCUMENT, text)], [Check(DOCUMENT, revision)], args.within)
+    result = await client.txn([Put(DOCUMENT, args.text)], [Check(DOCUMENT, revision)], args.within)
     print(f"{args.file}: revision {result.revision}")
     print("`basaltpoint store get --prefix limiter/` tells which limiters run on it")
     return 0
@@ -79,3 +77,38 @@
     sys.stdout.flush()
     sys.stdout.buffer.write(held.value)
     return 0
+
+
+async def _drain(client: Client, args: argparse.Namespace) -> int:
+    known = await _servers(client, args.within)
+    if known is not None and args.server not in known and not args.force:
+        print(f"found the server {args.server!r}; known are {', '.join(sorted(known))}", file=sys.stderr)
+        return 1
+    told = json.dumps({"since_ms": int(time.time() * 1000)}).encode()
+    await client.put(DRAIN + args.server, told, within_s=args.within)
+    print(f"{args.server} drains: limiters send nothing new to it")
+    return 0
+
+
+async def _servers(client: Client, within_s: float) -> set[str] | None:
+    """Names of the servers that limiters know; None where the store does not tell."""
+    found, _ = await client.range(PREFIX, within_s=within_s)
+    if (document := found.get(DOCUMENT)) is None:
+        return None
+    out = Collector(DOCUMENT)
+    tables = parse_document(document.value, out)
+    try:
+        out.check()
+        names = {str(row["name"]) for row in tables.get("server", [])}
+    except (FileError, TypeError, KeyError):
+        return None  # no limiter can use it; a drain must not wait for its mending
+    return names | {key.removeprefix(SERVER) for key in found if key.startswith(SERVER)}
+
+
+async def _undrain(client: Client, args: argparse.Namespace) -> int:
+    if await client.get(DRAIN + args.server, within_s=args.within) is None:
+        print(f"{args.server} does not drain")
+        return 1
+    await client.delete(DRAIN + args.server, within_s=args.within)
+    print(f"{args.server} drains no more")
+    return 0
--- a/basaltpoint/store/command.py
+++ b/basaltpoint/store/command.py
@@ -1,17 +1,15 @@
-"""`basaltpoint store`: run a replica, look at the cluster, change it, back it up; `drain` and `undrain`."""
+"""`basaltpoint store`: run a replica, look at the cluster, change it, back it up."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
 import gc
-import json
 import logging
 import os
 import signal
 import sys
 import time
-import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -32,7 +30,6 @@
 
 CRASH = "BASALTPOINT_STORE_CRASH"  # POINT:COUNT, for tests: SIGKILL when it is reached so often
 CAUGHT_UP_S = 60.0  # for a new member to catch up, by default
-DRAIN, SERVER = "shared/drain/", "shared/server/"  # as the daemon holds them
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -43,7 +40,7 @@
         name: str, text: str, act: Callable[[Client, argparse.Namespace], Awaitable[int]]
     ) -> argparse.ArgumentParser:
         made = commands.add_parser(name, help=text)
-        _common(made)
+        add_common(made)
         made.set_defaults(act=act)
         return made
 
@@ -55,7 +52,7 @@
         "restore", help="make the folder of a first replica of a new cluster from a backup"
     )
     restore.add_argument("backup", type=Path)
-    _common(restore)
+    add_common(restore)
     restore.set_defaults(act=None)
     command("status", "how the replica stands that is asked", _status)
     command("members", "who belongs to the cluster", _members)
@@ -86,18 +83,8 @@
     watch.add_argument("--revision", type=int, help="from a revision on; without it, from now")
 
 
-def add_drain_arguments(parser: argparse.ArgumentParser, drain: bool) -> None:
-    """Those of `drain` and `undrain`."""
-    parser.add_argument("server", help="its name")
-    if drain:
-        parser.add_argument(
-            "--force", action="store_true", help="though no limiter knows a server of this name"
-        )
-    _common(parser)
-    parser.set_defaults(store_command="drain", act=_drain if drain else _undrain)
-
-
-def _common(parser: argparse.ArgumentParser) -> None:
+def add_common(parser: argparse.ArgumentParser) -> None:
+    """What each command that asks the store takes."""
     parser.add_argument(
         "--config",
         type=Path,
@@ -118,8 +105,22 @@
         return run_replica(storage, args.embedded)
     if args.store_command == "restore":
         return _restore(storage, args.backup)
+    return ask(storage, args)
+
+
+def ask(storage: Storage, args: argparse.Namespace) -> int:
+    """Have a command's `act` done with a client; the exit code: 1 where the store refuses."""
+
+    async def act() -> int:
+        client = setting.client(storage)
+        try:
+            code: int = await args.act(client, args)
+            return code
+        finally:
+            client.close()
+
     try:
-        return asyncio.run(_with_client(storage, args))
+        return asyncio.run(act())
     except (StoreError, CompactedError) as error:
         print(error, file=sys.stderr)
         return 1
@@ -127,15 +128,6 @@
         return 130
 
 
-async def _with_client(storage: Storage, args: argparse.Namespace) -> int:
-    client = setting.client(storage)
-    try:
-        act: Callable[[Client, argparse.Namespace], Awaitable[int]] = args.act
-        return await act(client, args)
-    finally:
-        client.close()
-
-
 # --- A replica ---------------------------------------------------------------------------
 def crash_point(text: str) -> Point:
     """Ends the process at a named point, as a power failure would; only for tests."""
@@ -317,37 +309,3 @@
             text = "removed" if event.value is None else event.value.value.decode(errors="replace")
             print(event.revision, event.key, text, flush=True)
     return 0
-
-
-# --- Drains ---------------------------------------------------------------------------
-async def _drain(client: Client, args: argparse.Namespace) -> int:
-    known = await _servers(client, args.within)
-    if known is not None and args.server not in known and not args.force:
-        print(f"found the server {args.server!r}; known are {', '.join(sorted(known))}", file=sys.stderr)
-        return 1
-    told = json.dumps({"since_ms": int(time.time() * 1000)}).encode()
-    await client.put(DRAIN + args.server, told, within_s=args.within)
-    print(f"{args.server} drains: limiters send nothing new to it")
-    return 0
-
-
-async def _servers(client: Client, within_s: float) -> set[str] | None:
-    """Names of the servers that limiters know; None where the store does not tell."""
-    found, _ = await client.range("shared/", within_s=within_s)
-    if (document := found.get("shared/document")) is None:
-        return None
-    try:
-        rows = tomllib.loads(document.value.decode()).get("server", [])
-        names = {str(row["name"]) for row in rows}
-    except (ValueError, TypeError, KeyError, AttributeError):
-        return None  # no limiter can use it; a drain must not wait for its mending
-    return names | {key.removeprefix(SERVER) for key in found if key.startswith(SERVER)}
-
-
-async def _undrain(client: Client, args: argparse.Namespace) -> int:
-    if await client.get(DRAIN + args.server, within_s=args.within) is None:
-        print(f"{args.server} does not drain")
-        return 1
-    await client.delete(DRAIN + args.server, within_s=args.within)
-    print(f"{args.server} drains no more")
-    return 0
