A file is read and checked for TOML in one place, and once at a limiter's start

Cause: reading a file, collecting and raising stood in six places, the document's TOML errors a second time; a start with [store] parsed its file three times; `check` of a file that the store completes had a loop that nothing could reach, and `load` a parameter that nobody gave.

Change: decode.read_sound and parse_toml; the start hands its tables on. A document that is no UTF-8 is now told as a file is.

--- a/basaltpoint/cli.py
+++ b/basaltpoint/cli.py
@@ -15,11 +15,13 @@
 
 def _check(args: argparse.Namespace) -> int:
     from basaltpoint.config.build import load
-    from basaltpoint.config.decode import FileError
-    from basaltpoint.daemon.held import check_local, first_document, stored
+    from basaltpoint.config.decode import FileError, read_sound
+    from basaltpoint.config.shared import shared_tables
+    from basaltpoint.daemon.held import check_local
 
     try:
-        if stored(args.config) and first_document(args.config) is None:
+        raw = read_sound(args.config)
+        if "store" in raw and not shared_tables(raw):
             check_local(args.config)
             print(f"{args.config}: good; the store holds the rest: basaltpoint config show")
             return 0
--- a/basaltpoint/config/build.py
+++ b/basaltpoint/config/build.py
@@ -17,9 +17,8 @@
 from basaltpoint import interface as api
 from basaltpoint.config import storage
 from basaltpoint.config.address import Address, ConfigError, parse_address
-from basaltpoint.config.decode import Collector, FileError, decode, read_toml, shown
+from basaltpoint.config.decode import Collector, FileError, decode, read_sound, shown
 from basaltpoint.config.schema import AccountTable, ClassTable, File, KeyMissing, RouteTable, ServerTable
-from basaltpoint.config.shared import Shared
 from basaltpoint.interface import Effect
 from basaltpoint.routing import regex
 from basaltpoint.routing.accounts import Account, Accounts, Identity, Missing, Networks
@@ -88,16 +87,12 @@
         return Numbers(dict(self.given), dict(self.counts))
 
 
-def load(path: Path, numbers: Numbers | None = None, shared: Shared | None = None) -> Setup:
+def load(path: Path, numbers: Numbers | None = None) -> Setup:
     """Read, check and build; FileError with every problem found.
 
-    `numbers` is changed only where all is right. `shared` is what the store holds in the place of the file's
-    own tables.
+    `numbers` is changed only where all is right.
     """
-    out = Collector(str(path))
-    raw = read_toml(path, out)
-    out.check()
-    return assemble(raw if shared is None else shared.over(raw), path, out, numbers)
+    return assemble(read_sound(path), path, Collector(str(path)), numbers)
 
 
 def assemble(raw: dict[str, Any], path: Path, out: Collector, numbers: Numbers | None = None) -> Setup:
--- a/basaltpoint/config/decode.py
+++ b/basaltpoint/config/decode.py
@@ -70,16 +70,31 @@
 def read_toml(path: Path, out: Collector) -> dict[str, Any]:
     """The file's tables; a problem, and none of them, where it is no TOML."""
     try:
-        return tomllib.loads(path.read_bytes().decode())
+        return parse_toml(path.read_bytes(), "file", out)
     except OSError as error:
         out.add("(file)", f"can't be read: {error.strerror}", "a file that this user may read")
+        return {}
+
+
+def parse_toml(text: bytes, what: str, out: Collector) -> dict[str, Any]:
+    """The tables of a file or another text, `what` in the problems; none where it is no TOML."""
+    try:
+        return tomllib.loads(text.decode())
     except UnicodeDecodeError as error:
-        out.add("(file)", f"not UTF-8 at byte {error.start}", "a TOML file in UTF-8")
+        out.add(f"({what})", f"not UTF-8 at byte {error.start}", f"a TOML {what} in UTF-8")
     except tomllib.TOMLDecodeError as error:
-        out.add("(file)", f"no TOML: {error}", "TOML 1.0")
+        out.add(f"({what})", f"no TOML: {error}", "TOML 1.0")
     return {}
 
 
+def read_sound(path: Path) -> dict[str, Any]:
+    """The file's tables; FileError where it can't be read."""
+    out = Collector(str(path))
+    raw = read_toml(path, out)
+    out.check()
+    return raw
+
+
 def allowed(kind: inspect.Type) -> str:
     """In words, what a value of this type may be."""
     match kind := bare(kind):
--- a/basaltpoint/config/shared.py
+++ b/basaltpoint/config/shared.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 import json
-import tomllib
 from dataclasses import dataclass, field
 from typing import Any
 
-from basaltpoint.config.decode import Collector
+from basaltpoint.config.decode import Collector, parse_toml
 
 # The rest of a file is shared. What names a place on one host can't be.
 LOCAL = ("listen", "name", "limits", "clients", "accounts_file", "store")
@@ -24,15 +23,7 @@
 
 def parse_document(text: bytes, out: Collector) -> dict[str, Any]:
     """The document's tables; problems go to `out`."""
-    try:
-        raw = tomllib.loads(text.decode())
-    except UnicodeDecodeError as error:
-        out.add("(document)", f"not UTF-8 at byte {error.start}", "TOML in UTF-8")
-        return {}
-    except tomllib.TOMLDecodeError as error:
-        out.add("(document)", f"no TOML: {error}", "TOML 1.0")
-        return {}
-    return shared_tables(raw)
+    return shared_tables(parse_toml(text, "document", out))
 
 
 def parse_server(name: str, text: bytes, out: Collector) -> dict[str, Any]:
--- a/basaltpoint/config/storage.py
+++ b/basaltpoint/config/storage.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from basaltpoint.config.address import ConfigError, parse_address
-from basaltpoint.config.decode import Collector, FileError, decode, read_toml, shown
+from basaltpoint.config.decode import Collector, FileError, decode, read_sound, shown
 from basaltpoint.config.schema import StoreTable
 
 
@@ -87,9 +88,12 @@
 
 def load(path: Path) -> Storage:
     """The `[store]` table of a file, whatever else stands in it; FileError with every problem found."""
+    return parse(read_sound(path), path)
+
+
+def parse(raw: dict[str, Any], path: Path) -> Storage:
+    """The same of a file's tables."""
     out = Collector(str(path))
-    raw = read_toml(path, out)
-    out.check()
     table = raw.get("store")
     if not isinstance(table, dict):
         out.add("store", "missing", "a table [store]")
--- a/basaltpoint/daemon/held.py
+++ b/basaltpoint/daemon/held.py
@@ -14,9 +14,9 @@
 
 from basaltpoint.config import storage
 from basaltpoint.config.build import Numbers, Setup, assemble
-from basaltpoint.config.decode import Collector, decode, read_toml, shown
+from basaltpoint.config.decode import Collector, decode, read_sound, read_toml, shown
 from basaltpoint.config.schema import NAME, Clients, Limits, StoreTable
-from basaltpoint.config.shared import LOCAL, Shared, parse_document, parse_server, shared_tables
+from basaltpoint.config.shared import Shared, parse_document, parse_server, shared_tables
 
 PREFIX = "shared/"
 DOCUMENT = PREFIX + "document"
@@ -97,38 +97,21 @@
     return Change(not drains and key.startswith(PREFIX), drains)
 
 
-def stored(path: Path) -> bool:
-    """Whether a file asks for a store."""
-    return "store" in read_toml(path, Collector(str(path)))
-
-
-def limiter_name(path: Path) -> str:
-    """The limiter's name, under which the store holds what is its own."""
-    name = read_toml(path, Collector(str(path))).get("name", "basaltpoint")
+def limiter_name(raw: dict[str, Any]) -> str:
+    """The limiter's name by its file's tables, under which the store holds what is its own."""
+    name = raw.get("name", "basaltpoint")
     # It names files, too, before the whole file is checked.
     return name if isinstance(name, str) and re.fullmatch(NAME, name) else "basaltpoint"
 
 
 def first_document(path: Path) -> bytes | None:
     """The file's own text where it has shared tables: a new store begins with it. FileError."""
-    out = Collector(str(path))
-    raw: dict[str, Any] = read_toml(path, out)
-    out.check()
-    return path.read_bytes() if shared_tables(raw) else None
+    return path.read_bytes() if shared_tables(read_sound(path)) else None
 
 
 def check_local(path: Path) -> None:
     """Check a file whose shared tables the store holds; FileError with every problem found."""
-    out = Collector(str(path))
-    raw = read_toml(path, out)
-    out.check()
-    for key in raw:
-        if key not in LOCAL:
-            out.add(
-                key,
-                "beside a store, with other tables missing",
-                "all of a limiter's tables, or " + ", ".join(LOCAL),
-            )
+    out, raw = Collector(str(path)), read_sound(path)
     for key, kind in (("limits", Limits), ("clients", Clients), ("store", StoreTable)):
         if isinstance(table := raw.get(key, {}), dict):
             made = decode(kind, table, out, key)
@@ -143,9 +126,6 @@
 
 def check_document(path: Path) -> bytes:
     """A file's text, once all of it is right as a limiter's; FileError with every problem found."""
-    out = Collector(str(path))
-    raw = read_toml(path, out)
-    out.check()
-    raw.setdefault("listen", "127.0.0.1:0")
-    assemble(raw, path, out)
+    raw = {"listen": "127.0.0.1:0"} | read_sound(path)
+    assemble(raw, path, Collector(str(path)))
     return path.read_bytes()
--- a/basaltpoint/daemon/standalone.py
+++ b/basaltpoint/daemon/standalone.py
@@ -14,8 +14,8 @@
 
 from basaltpoint.config import build, storage
 from basaltpoint.config.build import Numbers, Setup
-from basaltpoint.config.decode import FileError, Problem, shown
-from basaltpoint.daemon.held import limiter_name, stored
+from basaltpoint.config.decode import Collector, FileError, Problem, read_sound, shown
+from basaltpoint.daemon.held import limiter_name
 from basaltpoint.daemon.keeper import Keeper, StartError
 from basaltpoint.daemon.kept import Kept
 from basaltpoint.fronts.http.connection import ClientConnection
@@ -36,10 +36,11 @@
         self._numbers = Numbers()
         self.setup: Setup
         self.keeper: Keeper | None = None
-        if stored(path):
-            self.keeper, self._kept = Keeper(storage.load(path), path, limiter_name(path)), Kept(self)
+        raw = read_sound(path)
+        if "store" in raw:
+            self.keeper, self._kept = Keeper(storage.parse(raw, path), path, limiter_name(raw)), Kept(self)
         else:
-            self.setup = build.load(path, self._numbers)
+            self.setup = build.assemble(raw, path, Collector(str(path)), self._numbers)
         self._seed = secrets.randbits(64) if seed is None else seed
         self.relay: Relay
         self.address = ("", 0)
