--- a/basaltpoint/daemon/keeper.py
+++ b/basaltpoint/daemon/keeper.py
@@ -241,7 +241,6 @@
                 self._known_current()
             except UnavailableError as error:
                 self._tell_age(error)
-                self.client.drop()  # its watch may hang on one that is cut off, too
                 await asyncio.sleep(0.2)
                 continue
             except StoreError as error:
