Metered periods before our start no longer teach our part; units settled afterwards count

The first readings speak of periods in which it was down: its own sends there are none, the use is full. To blame: Customer.meter, which counted them. Ruled out: lane caps (no refusal of theirs), the share's dice (one in four, as before the restarts), connections (none lost). Change: a period that begins before this gateway's first request teaches neither its part nor the meter's lag.

Also, what the site settles after the answer: X-Cost-Units was never read on sockets, and the module settled first attempts only, outside the log that it holds the meter against. They are booked so now, for any attempt.

Tried and left: the others' draws foretold by their metered rate instead of in proportion to ours.

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -200,11 +200,13 @@
         *,
         usage: int | None = None,
         report: tuple[float, ...] = (),
+        units: float = 0.0,
         payload: object = None,
         final: bool = False,
     ) -> list[Effect]:
         """An attempt's end: the first good one is the client's, and each is told the module.
 
+        `units`: what the request truly took, where the answer tells; 0: its guess stands.
         `final`: what came is a whole answer and the client's, though the attempt counts as failed.
         """
         entry = self.entries.get(ident)
@@ -222,7 +224,7 @@
         closed = not entry.open
         self._forget(ident, entry)
         self._events.append(
-            api.Outcome(ident, attempt, entry.server, status, elapsed, closed, usage, 0, report)
+            api.Outcome(ident, attempt, entry.server, status, elapsed, closed, usage, units, report)
         )
         return self._run(now)
 
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -195,9 +195,18 @@
     def _ended(self, ident: int, number: int, reply: Answer) -> None:
         self._attempts.pop(ident, None)
         load = read_load(self._settings.report_fields, reply.load)
+        # A figure beyond what a request can take is no figure of this server's; it would bind the customer.
+        units = reply.units if reply.units <= (self._settings.most_units or reply.units) else 0.0
         self.do(
             self.table.ended(
-                self.now(), ident, number, reply.status, usage=reply.usage, report=load, payload=reply
+                self.now(),
+                ident,
+                number,
+                reply.status,
+                usage=reply.usage,
+                report=load,
+                units=units,
+                payload=reply,
             )
         )
 
--- a/basaltpoint/interface.py
+++ b/basaltpoint/interface.py
@@ -200,7 +200,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """The end of an attempt; `usage` is None or the customer's metered use in percent."""
+    """The end of an attempt; `usage` is None or the customer's metered use in percent.
+
+    `units` take the place of the arrival's guess, where quotas are settled after the answer; 0: not told.
+    """
 
     request: int
     attempt: int
@@ -209,7 +212,7 @@
     elapsed_ms: float
     closed: bool
     usage: int | None = None
-    units: int = 0
+    units: float = 0.0
     report: tuple[float, ...] = ()
 
 
--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -71,7 +71,7 @@
         self.probes = Probes(self.rng, self.healths)
         self.pools: dict[int, Pool] = {}
         self.customers: dict[int, Customer] = {}
-        self.clock = MeterClock(settings.meter_ms)
+        self.clock = MeterClock(settings.meter_ms, INF)
         self.requests: dict[int, Request] = {}
         self.born, self.tidied = INF, 0.0
         self.actions: list[api.Action] = []
@@ -186,8 +186,8 @@
     def _arrive(self, now: float, event: api.Arrival) -> None:
         """The ordinary path: let-in share, lane cap, server choice; what fails is refused at once."""
         cls, pool = self.settings.classes[event.cls], self._pool(event.pool)
-        pool.begun = min(pool.begun, now)
-        customer = self._customer(now, event)
+        pool.begun, self.clock.begun = min(pool.begun, now), min(self.clock.begun, now)
+        customer, worth = self._customer(now, event), cls.worth / self.dearest
         # Where a late answer earns little, an attempt past the aim is waste and feeds a jam.
         in_time = cls.late_worth <= LITTLE_WORTH and cls.aim_stretch <= 0 and not cls.stream
         end = min(event.deadline_ms, now + cls.aim_ms) if in_time else event.deadline_ms
@@ -195,7 +195,7 @@
         self.requests[event.request] = request
         if in_time and self._late(now, event, pool) and not customer.spares(now, event.units):
             request.why = Why.LATE
-        elif why := self._bars(now, event, customer, cls.worth / self.dearest):
+        elif why := customer.bars(now, event.units, self.rng.random(), worth, self.settings.sole):
             request.why = why
         else:
             pool.arrivals.append((now, request.lane, event.units))
@@ -205,9 +205,6 @@
                 return
         self._answer(now, request)
 
-    def _bars(self, now: float, event: api.Arrival, customer: Customer, worth: float) -> Why | None:
-        return customer.bars(now, event.units, self.rng.random(), worth, self.settings.sole)
-
     def _customer(self, now: float, event: api.Arrival) -> Customer:
         """The customer of an arrival, behind all others: the latest to ask."""
         customer, plan = self.customers.pop(event.customer, None), self.settings.plans[event.plan]
@@ -355,8 +352,8 @@
         request.customer.out -= 1
         if event.usage is not None and self.settings.meter_ms > 0:
             request.customer.meter(now, event.usage, self.clock)
-        if self.settings.post_paid and event.status is Status.OK and event.units and not event.attempt:
-            request.customer.store.level += request.event.units - event.units
+        if self.settings.post_paid and event.status is Status.OK and event.units:
+            request.customer.settle(now, event.units - request.event.units)
         # Work lost at a suspect says nothing of the back end's load; elsewhere a time-out is a latency.
         if event.status is Status.OK:
             pool.latencies.append((now, request.lane, event.elapsed_ms))
--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -56,8 +56,9 @@
 class MeterClock:
     """Learns which period a reading speaks of; else sends of another would mend the store."""
 
-    def __init__(self, period: float) -> None:
+    def __init__(self, period: float, begun: float = -INF) -> None:
         self.period = period
+        self.begun = begun  # when our first request came
         self.errors = [(step - LAG_START) ** 2 * LAG_PULL for step in range(LAG_STEPS)]
         self.sine = self.cosine = 0.0
 
@@ -128,10 +129,8 @@
         self.asked, self.asked_at, self.born = 0.0, now, born
         # Alone within 1/doors of the ceiling; empty when this gateway started, as its last life may have
         # drawn all, and filled since then: nothing of this customer was sent on.
-        began = min(born, now)
-        self.ceiling = TokenBucket(
-            plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors, 0.0, began
-        )
+        rate, depth = plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors
+        self.ceiling = TokenBucket(rate, depth, 0.0, min(born, now))
         # Of own first sends: time, running sums of units, and of units with the others' share.
         self.log = [(-INF, 0.0, 0.0)]
         self.anchor = (plan.burst, now)  # store estimate at the end of the last metered period
@@ -181,12 +180,24 @@
         self.store.rate = self.plan.rate - 1000.0 * besides
         self.store.refill(now)
         self.store.level = max(-DEBT * self.plan.burst, self.store.level - taken)
+        self._book(now, units, taken)
+        if self.plan.ceiling_rate > 0:
+            self.ceiling.level -= units
+
+    def settle(self, now: float, units: float) -> None:
+        """Book what an answer adds to its request's guess, or gives back: the meter counts it now, not then.
+
+        The others' guesses miss to either side, so nothing is added for them. A ceiling goes by the guess.
+        """
+        level = self.store.refill(now) - units
+        self.store.level = min(self.plan.burst, max(-DEBT * self.plan.burst, level))
+        self._book(now, units, units)
+
+    def _book(self, now: float, units: float, taken: float) -> None:
         self.log.append((now, self.log[-1][1] + units, self.log[-1][2] + taken))
         half = len(self.log) // 2
         if half > 8 and self.log[half][0] < now - HISTORY_MS:
             del self.log[:half]
-        if self.plan.ceiling_rate > 0:
-            self.ceiling.level -= units
 
     def forgettable(self, now: float, pressed: bool) -> bool:
         """Whether one made anew would stand as this one does; when pressed the ceiling alone counts."""
@@ -217,10 +228,12 @@
         self.used = self.used * keep + whole / then
         if self.plan.rate <= 0:
             return
-        clock.learn(now, self, whole)
-        own = self.drawn(end)[0] - self.drawn(start)[0]
-        self.own = self.own * SHARE_KEEP + min(own, whole)
-        self.whole = self.whole * SHARE_KEEP + whole
+        if start >= clock.begun:
+            # Of a period in which nobody could come to us, as we had not started, our part says nothing.
+            clock.learn(now, self, whole)
+            own = self.drawn(end)[0] - self.drawn(start)[0]
+            self.own = self.own * SHARE_KEEP + max(0.0, min(own, whole))
+            self.whole = self.whole * SHARE_KEEP + whole
         self._anchor(now, start, end, whole)
 
     def _anchor(self, now: float, start: float, end: float, whole: float) -> None:
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -28,6 +28,7 @@
     content_type: bytes = b""
     usage: int | None = None
     load: bytes = b""
+    units: float = 0.0  # that the request truly took, where that is told afterwards; 0: not told
 
 
 @dataclass(slots=True)
--- a/basaltpoint/upstream/whole.py
+++ b/basaltpoint/upstream/whole.py
@@ -17,13 +17,18 @@
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
 REUSE_S = 0.05  # a connection that was free for longer may be ending unseen; a new one costs little
-USAGE = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
+FIGURE = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
 SHORT_S = 0.25  # for the rest of an answer that has begun to come; one that stops short is spoilt
 
 
 def _usage(raw: bytes) -> int | None:
     """The metered use in percent; what is no such number, or one beyond the meter's range, says nothing."""
-    return round(float(raw)) if USAGE.fullmatch(raw) else None
+    return round(float(raw)) if FIGURE.fullmatch(raw) else None
+
+
+def _units(raw: bytes) -> float:
+    """The units that the request truly took; what is no number says nothing."""
+    return float(raw) if FIGURE.fullmatch(raw) else 0.0
 
 
 class WholeAnswers(Connection):
@@ -168,6 +173,7 @@
             self._headers.get(b"content-type", b""),
             _usage(self._headers.get(b"x-ratelimit-used", b"")),
             self._headers.get(b"srv-load", b""),
+            _units(self._headers.get(b"x-cost-units", b"")),
         )
         self._body = []
         if self._keep and self.written:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -49,6 +49,75 @@
     assert 0.3 < customer.part() < 0.7
 
 
+def test_what_was_metered_before_our_start_says_nothing_of_our_part() -> None:
+    """After a restart the first readings speak of seconds in which all came through the others.
+
+    Held against us, they halved our part of every customer, and customers inside their quotas were refused.
+    """
+    clock, customer = MeterClock(1000.0, begun=5000.0), Customer(PLAN, 2, 5000.0)
+    for step in range(3):
+        customer.draw(5000.0 + step * 100.0, 1.0)
+        customer.meter(5010.0 + step * 700.0, 90 + step, clock)
+    assert customer.part() == 0.5 and customer.whole == 0.0
+    for step in range(6):
+        customer.draw(7500.0 + step * 1000.0, 1.0)
+        customer.meter(9000.0 + step * 1000.0, 100 + step, clock)
+    assert customer.part() < 0.4  # of what was metered since, it does
+
+
+def test_a_gateway_starts_with_its_first_request() -> None:
+    rig = Rig()
+    assert rig.gateway.clock.begun > 1e9
+    rig.arrive(300.0)
+    rig.arrive(700.0)
+    assert rig.gateway.clock.begun == 300.0
+
+
+def test_units_settled_after_the_answer_count_when_the_meter_counts_them() -> None:
+    """At their answer, not at their sending: else the two sides of a period would not balance."""
+    customer = Customer(PLAN, 1, 0.0)
+    customer.draw(100.0, 4.0)
+    left = customer.store.level
+    customer.settle(1200.0, -3.0)
+    assert customer.store.level == pytest.approx(min(PLAN.burst, left + 3.0 + 11.0))
+    assert customer.drawn(1000.0)[0] == 4.0 and customer.drawn(1300.0)[0] == 1.0
+    customer.settle(1300.0, 2.0)
+    assert customer.drawn(1300.0)[0] == 3.0
+
+
+def test_a_period_in_which_more_was_given_back_than_drawn_leaves_a_part() -> None:
+    """Our part was negative or nothing then, and the clock divided by it."""
+    clock, customer = MeterClock(1000.0), Customer(PLAN, 2, 0.0)
+    for step in range(40):
+        now = step * 1000.0
+        if step % 2:
+            customer.settle(now + 10.0, -30.0)
+        else:
+            customer.draw(now + 10.0, 31.0)
+        customer.meter(now + 20.0, 30 + step % 2, clock)
+        assert 0.0 < customer.part() <= 1.0
+
+
+@pytest.mark.parametrize("attempt", [0, 1])
+def test_the_first_good_answer_settles_whichever_attempt_it_ends(attempt: int) -> None:
+    rig = Rig(plans=(PLAN,), post_paid=True)
+    [sent] = sends(rig.arrive(10.0))
+    customer = rig.gateway.customers[1]
+    if attempt:
+        [sent] = sends(rig.done(20.0, sent, "connect_failed"))
+    before = customer.drawn(1e9)[0]
+    rig.done(60.0, sent, "ok", attempt, units=4.0)
+    assert customer.drawn(1e9)[0] == before + 3.0
+
+
+def test_nothing_is_settled_where_quotas_go_by_the_guess_or_nothing_was_told() -> None:
+    for post_paid, units in ((False, 4.0), (True, 0.0)):
+        rig = Rig(plans=(PLAN,), post_paid=post_paid)
+        [sent] = sends(rig.arrive(10.0))
+        rig.done(60.0, sent, "ok", units=units)
+        assert rig.gateway.customers[1].drawn(1e9)[0] == 1.0
+
+
 def test_repeating_a_reading_does_not_wind_the_share_down() -> None:
     clock, customer = MeterClock(1000.0), Customer(PLAN, 1, 0.0)
     for step in range(12):
