A limiter may always send on its own part of a quota

Each send counts for nearly two, as the others may have sent as much unseen; with a burst of 8 units and requests of 1 to 4 that shuts the limiter until the meter speaks 1.1 to 2.1 s later.

Change: beside the estimate of the whole store each limiter keeps its own part of it, by its own sends alone; what that part holds may go on. The parts of all limiters add up to the quota. Where nobody else draws, the store alone counts, as before.

--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -110,6 +110,7 @@
         "doors",
         "heard_at",
         "log",
+        "mine",
         "out",
         "own",
         "plan",
@@ -131,6 +132,8 @@
         # drawn all, and filled since then: nothing of this customer was sent on.
         rate, depth = plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors
         self.ceiling = TokenBucket(rate, depth, 0.0, min(born, now))
+        # Our part of the store, by our sends alone: it may always go on.
+        self.mine = TokenBucket(plan.rate / self.doors, plan.burst / self.doors, plan.burst / self.doors, now)
         # Of own first sends: time, running sums of units, and of units with the others' share.
         self.log = [(-INF, 0.0, 0.0)]
         self.anchor = (plan.burst, now)  # store estimate at the end of the last metered period
@@ -141,9 +144,7 @@
 
     def change(self, now: float, plan: api.Plan) -> None:
         """Go over to another plan: what is left of the store counts as the same part of the new one."""
-        self.store.refill(now)
-        part = self.store.level / self.plan.burst if self.plan.burst > 0 else 1.0
-        level = part * plan.burst
+        level = plan.burst * (self.store.refill(now) / self.plan.burst if self.plan.burst > 0 else 1.0)
         self.store = TokenBucket(plan.rate, plan.burst, level, now)
         rate, depth = plan.ceiling_rate / self.doors, plan.ceiling_depth / self.doors
         # A ceiling is never granted anew by a change: what was drawn stays drawn.
@@ -185,15 +186,15 @@
             self.ceiling.level -= units
 
     def settle(self, now: float, units: float) -> None:
-        """Book what an answer adds to its request's guess, or gives back: the meter counts it now, not then.
-
-        The others' guesses miss to either side, so nothing is added for them. A ceiling goes by the guess.
-        """
+        """Book what an answer adds to its guess, or gives back, as the meter does; a ceiling does not."""
         level = self.store.refill(now) - units
         self.store.level = min(self.plan.burst, max(-DEBT * self.plan.burst, level))
         self._book(now, units, units)
 
     def _book(self, now: float, units: float, taken: float) -> None:
+        part, mine = self.part(), self.mine
+        left = min(mine.refill(now), part * self.plan.burst) - units
+        mine.rate, mine.depth, mine.level = part * self.plan.rate, part * self.plan.burst, max(0.0, left)
         self.log.append((now, self.log[-1][1] + units, self.log[-1][2] + taken))
         half = len(self.log) // 2
         if half > 8 and self.log[half][0] < now - HISTORY_MS:
@@ -226,9 +227,7 @@
         keep = READING_KEEP * math.exp((last - now) / AGE_MS)
         self.seen = self.seen * keep + period
         self.used = self.used * keep + whole / then
-        if self.plan.rate <= 0:
-            return
-        if start >= clock.begun:
+        if self.plan.rate > 0 and start >= clock.begun:
             # Of a period in which nobody could come to us, as we had not started, our part says nothing.
             clock.learn(now, self, whole)
             own = self.drawn(end)[0] - self.drawn(start)[0]
@@ -278,6 +277,9 @@
             return api.Why.PARALLEL
         if self.plan.rate <= 0:
             return None if dice < share else api.Why.QUOTA
-        left = self.store.refill(now) - units - self._kept(1.0 if exact else share, worth)
+        kept = self._kept(1.0 if exact else share, worth)
+        left = self.store.refill(now) - units - kept
         sure = self.part() * self.plan.burst >= OWN_LEAST and left >= SURE_ROOM * self.plan.burst
+        # What the others draw unseen may look like all of it; the parts of all still add up to the store.
+        sure = sure or (not exact and self.mine.refill(now) - units >= kept)
         return None if sure or (left >= 0.0 and (exact or dice < share)) else api.Why.QUOTA
