--- /dev/null
+++ b/basaltpoint/importers/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of other programs' configurations."""
