--- /dev/null
+++ b/basaltpoint/importers/nginx/reference/variables.py
@@ -0,0 +1,141 @@
+"""Values of nginx's variables for one request: built-in ones, captures, `set` and `map`.
+
+Source: nginx's documentation of the core, proxy and map modules. A variable whose value is not certain here,
+or that nobody defines, is an error, never empty.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from basaltpoint.importers.nginx.reference.regex import captures, compiled
+from basaltpoint.importers.nginx.reference.uri import host_name
+from basaltpoint.importers.nginx.source import Directive, Place, Problem, SourceError
+
+NAME = re.compile(r"\$(?:\{(\w+)\}|(\w+))")
+
+
+class NotEvaluatedError(Exception):
+    """What the files ask for is beyond what is certain here; says where and what."""
+
+    def __init__(self, place: Place, what: str) -> None:
+        super().__init__(f"{place}: {what}")
+        self.place = place
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request as it came; header names are in lower case, `target` is the request line's."""
+
+    method: str
+    target: bytes
+    headers: Mapping[str, str]
+    address: str = "127.0.0.1"
+    port: int = 80
+    client: str = "127.0.0.1"
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """A `map`: its source, and its rows in their order."""
+
+    block: Directive
+
+    def value(self, scope: Scope) -> str:
+        """An equal text goes first (case does not count), then the first expression, then the default."""
+        source = scope.expand(self.block.args[0], self.block.place)
+        default, rows = "", []
+        for row in self.block.block or ():
+            if row.name in ("hostnames", "volatile", "include"):
+                raise NotEvaluatedError(row.place, f"map: {row.name}")
+            if row.name == "default":
+                default = row.args[0]
+            else:
+                rows.append(
+                    (row.name.removeprefix("\\") if row.name[:2] in ("\\~", "\\d") else row.name, row)
+                )
+        for name, row in rows:
+            if not row.name.startswith("~") and name.lower() == source.lower():
+                return scope.expand(row.args[0], row.place)
+        for _, row in rows:
+            if row.name.startswith("~"):
+                ignore = row.name.startswith("~*")
+                if match := compiled(row.name[1 + ignore :], row.place, ignore).search(source):
+                    scope.capture(match)
+                    return scope.expand(row.args[0], row.place)
+        return scope.expand(default, self.block.place)
+
+
+def tables(http: Directive) -> dict[str, Table]:
+    """The maps of an http block by the variable they define; the last of a name counts."""
+    return {block.args[1].removeprefix("$"): Table(block) for block in http.all("map")}
+
+
+@dataclass
+class Scope:
+    """One request's variables; `uri` is normalized and changes with a rewrite, `args` has no `?`."""
+
+    request: Request
+    uri: bytes
+    args: bytes
+    maps: Mapping[str, Table]
+    names: tuple[str, ...] = ()  # that a `set` anywhere defines: empty until it ran
+    known: dict[str, str] = field(default_factory=dict)
+    pending: set[str] = field(default_factory=set)
+
+    def capture(self, match: re.Match[str]) -> None:
+        """Numbers of an earlier match are gone, names stay."""
+        self.known = {name: value for name, value in self.known.items() if not name.isdigit()}
+        self.known.update(captures(match))
+
+    def expand(self, text: str, place: Place) -> str:
+        """A text with its variables' values."""
+        return NAME.sub(lambda match: self.value(match[1] or match[2], place), text)
+
+    def value(self, name: str, place: Place) -> str:
+        if name in self.known:
+            return self.known[name]
+        if built_in := BUILT_IN.get(name):
+            return built_in(self)
+        if name.startswith("http_"):
+            return self.request.headers.get(name[5:].replace("_", "-"), "")
+        if name.startswith("arg_"):
+            return self._argument(name[4:])
+        if table := self.maps.get(name):
+            if name in self.pending:
+                raise SourceError([Problem(table.block.place, f"${name} depends on itself")])
+            self.pending.add(name)
+            self.known[name] = table.value(self)  # once for a request
+            return self.known[name]
+        if name.isdigit() or name in self.names:
+            return ""
+        raise NotEvaluatedError(place, f"the variable ${name}")
+
+    def _argument(self, name: str) -> str:
+        for pair in self.args.split(b"&"):
+            key, _, value = pair.partition(b"=")
+            if key.decode("latin-1").lower() == name.lower():
+                return value.decode("latin-1")
+        return ""
+
+
+def _host(scope: Scope) -> str:
+    return host_name(scope.request.headers.get("host"))
+
+
+BUILT_IN: dict[str, Callable[[Scope], str]] = {
+    "host": _host,
+    "uri": lambda scope: scope.uri.decode("latin-1"),
+    "document_uri": lambda scope: scope.uri.decode("latin-1"),
+    "request_uri": lambda scope: scope.request.target.decode("latin-1"),
+    "args": lambda scope: scope.args.decode("latin-1"),
+    "query_string": lambda scope: scope.args.decode("latin-1"),
+    "is_args": lambda scope: "?" if scope.args else "",
+    "request_method": lambda scope: scope.request.method,
+    "scheme": lambda scope: "http",
+    "server_port": lambda scope: str(scope.request.port),
+    "server_addr": lambda scope: scope.request.address,
+    "remote_addr": lambda scope: scope.request.client,
+}
