nginx: the evaluator knows geo, hostnames in maps and limit_except

Need: archives' files choose servers by client networks, by lists of hosts and by method; the evaluator refused them.

Change: geo by the narrowest network, of the client's address or another variable's; wildcards in a map of hostnames, in the order that server names go; limit_except that denies all or passes elsewhere, GET standing for HEAD. Forms whose outcome is not certain (ranges, proxies, volatile, allow lists) stay refused with their place.

--- a/basaltpoint/importers/nginx/reference/evaluate.py
+++ b/basaltpoint/importers/nginx/reference/evaluate.py
@@ -18,7 +18,6 @@
 # They choose who answers by what is not told here: files, methods, other requests.
 BEYOND = (
     "try_files",
-    "limit_except",
     "auth_request",
     "fastcgi_pass",
     "uwsgi_pass",
@@ -112,6 +111,15 @@
         for block in self._chain(step.conf):
             for each in block.all(*BEYOND):
                 raise NotEvaluatedError(each.place, each.name)
+        if limit := location.block.last("limit_except"):
+            if step.conf is not location.block:
+                raise NotEvaluatedError(limit.place, "limit_except beside an if that holds")
+            if not _allowed(limit, scope.request.method):
+                if any(each.args == ("all",) for each in limit.all("deny")) and not limit.last("allow"):
+                    return Result(403, "", server, location.block)
+                if any(each.name != "proxy_pass" for each in limit.block or ()):
+                    raise NotEvaluatedError(limit.place, "limit_except by more than deny all and proxy_pass")
+                step.conf = limit
         # An `if` without a proxy_pass of its own goes by that of the location around it.
         owner = step.conf if step.conf.last("proxy_pass") else location.block
         proxy = owner.last("proxy_pass")
@@ -185,6 +193,11 @@
             at = self._above.get(id(at))
 
 
+def _allowed(limit: Directive, method: str) -> bool:
+    """GET stands for HEAD, too."""
+    return method in limit.args or (method == "HEAD" and "GET" in limit.args)
+
+
 def _forwarded(scope: Scope) -> str:
     before = scope.request.headers.get("x-forwarded-for", "")
     return f"{before}, {scope.request.client}" if before else scope.request.client
--- a/basaltpoint/importers/nginx/reference/servers.py
+++ b/basaltpoint/importers/nginx/reference/servers.py
@@ -111,11 +111,8 @@
     for name, server in names:
         if host == name or (host and name == "." + host):
             return Chosen(server, name)
-    for leading in (True, False):
-        fit = [(name, server) for name, server in names if _wild(name, host, leading)]
-        if fit:
-            name, server = max(fit, key=lambda pair: len(pair[0].lstrip("*")))
-            return Chosen(server, name)
+    if fit := longest_wildcard([name for name, _ in names], host):
+        return Chosen(next(server for name, server in names if name == fit), fit)
     for name, server in names:
         if name.startswith("~") and (match := compiled(name[1:], server.block.place, True).search(host)):
             return Chosen(server, name, captures(match))
@@ -123,7 +120,16 @@
     return Chosen(default)
 
 
-def _wild(name: str, host: str, leading: bool) -> bool:
+def longest_wildcard(names: Iterable[str], host: str) -> str | None:
+    """Of those that hold a host: the longest that begins with an asterisk or dot, else that ends with one."""
+    for leading in (True, False):
+        fit = [name for name in names if wildcard(name, host, leading)]
+        if fit:
+            return max(fit, key=lambda name: len(name.lstrip("*")))
+    return None
+
+
+def wildcard(name: str, host: str, leading: bool) -> bool:
     """`*.example.org` and `.example.org` stand for all below; `mail.*` for all that begins so."""
     if leading:
         tail = name[1:] if name.startswith("*.") else name if name.startswith(".") else ""
--- a/basaltpoint/importers/nginx/reference/variables.py
+++ b/basaltpoint/importers/nginx/reference/variables.py
@@ -9,8 +9,10 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from ipaddress import ip_address, ip_network
 
 from basaltpoint.importers.nginx.reference.regex import captures, compiled
+from basaltpoint.importers.nginx.reference.servers import longest_wildcard
 from basaltpoint.importers.nginx.reference.uri import host_name
 from basaltpoint.importers.nginx.source import Directive, Place, Problem, SourceError
 
@@ -39,38 +41,76 @@
 
 @dataclass(frozen=True, slots=True)
 class Table:
-    """A `map`: its source, and its rows in their order."""
+    """A `map` or `geo`."""
 
     block: Directive
 
     def value(self, scope: Scope) -> str:
-        """An equal text goes first (case does not count), then the first expression, then the default."""
-        source = scope.expand(self.block.args[0], self.block.place)
-        default, rows = "", []
-        for row in self.block.block or ():
-            if row.name in ("hostnames", "volatile", "include"):
-                raise NotEvaluatedError(row.place, f"map: {row.name}")
-            if row.name == "default":
-                default = row.args[0]
-            else:
-                rows.append(
-                    (row.name.removeprefix("\\") if row.name[:2] in ("\\~", "\\d") else row.name, row)
-                )
-        for name, row in rows:
-            if not row.name.startswith("~") and name.lower() == source.lower():
-                return scope.expand(row.args[0], row.place)
-        for _, row in rows:
-            if row.name.startswith("~"):
-                ignore = row.name.startswith("~*")
-                if match := compiled(row.name[1 + ignore :], row.place, ignore).search(source):
-                    scope.capture(match)
-                    return scope.expand(row.args[0], row.place)
-        return scope.expand(default, self.block.place)
+        return _geo(self.block, scope) if self.block.name == "geo" else _map(self.block, scope)
+
+
+def _map(block: Directive, scope: Scope) -> str:
+    """An equal text goes first (case does not count), then wildcards, the first expression, the default."""
+    source = scope.expand(block.args[0], block.place)
+    default, hostnames = "", False
+    texts: dict[str, Directive] = {}
+    expressions = []
+    for row in block.block or ():
+        if row.name == "volatile":
+            raise NotEvaluatedError(row.place, "map: volatile")
+        if row.name == "hostnames" and not row.args:
+            hostnames = True
+        elif row.name == "default":
+            default = row.args[0]
+        elif row.name.startswith("~"):
+            expressions.append(row)
+        else:
+            texts[_unescaped(row.name).lower()] = row
+    key = source.lower().removesuffix(".") if hostnames else source.lower()
+    found = texts.get(key) or (texts.get("." + key) if hostnames else None)
+    if found is None and hostnames and (name := longest_wildcard(texts, key)):
+        found = texts[name]
+    if found:
+        return scope.expand(found.args[0], found.place)
+    for row in expressions:
+        ignore = row.name.startswith("~*")
+        if match := compiled(row.name[1 + ignore :], row.place, ignore).search(source):
+            scope.capture(match)
+            return scope.expand(row.args[0], row.place)
+    return scope.expand(default, block.place)
+
+
+def _unescaped(name: str) -> str:
+    """A backslash keeps a text from being taken for a word or an expression."""
+    return name[1:] if name.startswith("\\") else name
+
+
+def _geo(block: Directive, scope: Scope) -> str:
+    """The value of the narrowest network that holds the client's address, or another variable's."""
+    source = scope.expand(block.args[0], block.place) if len(block.args) > 1 else scope.request.client
+    try:
+        address = ip_address(source)
+    except ValueError:
+        address = ip_address("255.255.255.255")  # what is no address counts as this one
+    value, longest = "", -1
+    for row in block.block or ():
+        if row.name in ("ranges", "proxy", "proxy_recursive", "delete"):
+            raise NotEvaluatedError(row.place, f"geo: {row.name}")
+        if row.name == "default":
+            value, longest = (row.args[0], 0) if longest <= 0 else (value, longest)
+            continue
+        try:
+            network = ip_network(row.name, strict=False)
+        except ValueError as error:
+            raise SourceError([Problem(row.place, f"geo: {error}")]) from None
+        if network.version == address.version and address in network and network.prefixlen > longest:
+            value, longest = row.args[0], network.prefixlen
+    return value
 
 
 def tables(http: Directive) -> dict[str, Table]:
-    """The maps of an http block by the variable they define; the last of a name counts."""
-    return {block.args[1].removeprefix("$"): Table(block) for block in http.all("map")}
+    """The maps and geos of an http block by the variable they define; the last of a name counts."""
+    return {block.args[-1].removeprefix("$"): Table(block) for block in http.all("map", "geo")}
 
 
 @dataclass
--- a/tests/test_nginx_evaluate.py
+++ b/tests/test_nginx_evaluate.py
@@ -163,6 +163,70 @@
         files(IFS).ask(target)
 
 
+LIMITED = """
+geo $near { default far; 10.0.0.0/8 near; 10.1.0.0/16 here; ::1 self; }
+geo $http_x_from $from { 10.0.0.0/8 main; }
+map $http_x_host $by_host {
+    hostnames; default none; a.org exact; .b.org both; *.c.org wild; *.d.c.org deep; w.* tail;
+}
+server {
+    location / { proxy_pass http://main/$near; }
+    location /from { proxy_pass http://$from; }
+    location /host { proxy_pass http://main/$by_host; }
+    location /read { limit_except GET { deny all; } proxy_pass http://main; }
+    location /split { limit_except GET { proxy_pass http://other; } proxy_pass http://main; }
+    location /some { limit_except GET { allow 10.0.0.0/8; deny all; } proxy_pass http://main; }
+}
+"""
+
+
+@pytest.mark.parametrize(
+    ("client", "value"),
+    [
+        ("10.2.3.4", b"/near"),
+        ("10.1.3.4", b"/here"),
+        ("192.168.0.1", b"/far"),
+        ("::1", b"/self"),
+        ("::2", b"/far"),
+    ],
+)
+def test_a_geo_goes_by_the_narrowest_network(files, client: str, value: bytes) -> None:  # type: ignore[no-untyped-def]
+    request = Request("GET", b"/", {"host": "a.org"}, client=client)
+    assert sent(files(LIMITED).evaluator.evaluate(request)) == ("main", value)
+
+
+def test_a_geo_may_go_by_another_variable(files) -> None:  # type: ignore[no-untyped-def]
+    assert sent(files(LIMITED).ask(b"/from", x_from="10.9.9.9"))[0] == "main"
+    with pytest.raises(SourceError, match="geo: "):
+        files("geo $g { 10.0.0.0/99 x; } server { location / { proxy_pass http://$g; } }").ask(b"/")
+
+
+@pytest.mark.parametrize(
+    ("host", "value"),
+    [
+        ("A.org.", b"/exact"),
+        ("b.org", b"/both"),
+        ("x.b.org", b"/both"),
+        ("x.c.org", b"/wild"),
+        ("x.d.c.org", b"/deep"),
+        ("w.de", b"/tail"),
+        ("c.org", b"/none"),
+    ],
+)
+def test_a_map_of_hostnames_takes_wildcards(files, host: str, value: bytes) -> None:  # type: ignore[no-untyped-def]
+    assert sent(files(LIMITED).ask(b"/host", x_host=host)) == ("main", value)
+
+
+def test_methods_may_be_kept_out_or_led_elsewhere(files) -> None:  # type: ignore[no-untyped-def]
+    text = files(LIMITED)
+    assert sent(text.ask(b"/read", method="HEAD")) == ("main", b"/read")
+    assert text.ask(b"/read", method="POST").code == 403
+    assert sent(text.ask(b"/split")) == ("main", b"/split")
+    assert sent(text.ask(b"/split", method="PUT")) == ("other", b"/split")
+    with pytest.raises(NotEvaluatedError, match="limit_except"):
+        text.ask(b"/some", method="POST")
+
+
 HEADERS = """
 proxy_set_header X-All all;
 server {
