The test of geo has the narrower network first, so that it can fail

With networks from wide to narrow the last that holds is the narrowest, so taking the last one passed. Now the narrower stands first and the default last.

Measured: the mutation (any later network wins) and another (a default at the end wins) each fail the test.

--- a/tests/test_nginx_evaluate.py
+++ b/tests/test_nginx_evaluate.py
@@ -164,7 +164,7 @@
 
 
 LIMITED = """
-geo $near { default far; 10.0.0.0/8 near; 10.1.0.0/16 here; ::1 self; }
+geo $near { 10.1.0.0/16 here; 10.0.0.0/8 near; ::1 self; default far; }
 geo $http_x_from $from { 10.0.0.0/8 main; }
 map $http_x_host $by_host {
     hostnames; default none; a.org exact; .b.org both; *.c.org wild; *.d.c.org deep; w.* tail;
