nginx: files without one http block are told so, with a place

Cause: an empty file raised an error without a text; found on reading the evaluator once more.

Change: no http block, or a second one, is told with file, line and how many stand there.

--- a/basaltpoint/importers/nginx/reference/evaluate.py
+++ b/basaltpoint/importers/nginx/reference/evaluate.py
@@ -12,7 +12,7 @@
 from basaltpoint.importers.nginx.reference.upstreams import groups, with_port
 from basaltpoint.importers.nginx.reference.uri import TargetError, host_name, normalize
 from basaltpoint.importers.nginx.reference.variables import NotEvaluatedError, Request, Scope, tables
-from basaltpoint.importers.nginx.source import Directive, Problem, SourceError
+from basaltpoint.importers.nginx.source import Directive, Place, Problem, SourceError
 
 CYCLES = 10  # internal redirects by rewrite; one more is answered with 500
 # They choose who answers by what is not told here: files, methods, other requests.
@@ -47,8 +47,8 @@
     def __init__(self, tree: tuple[Directive, ...]) -> None:
         blocks = [each for each in tree if each.name == "http"]
         if len(blocks) != 1:
-            place = tree[-1].place if tree else None
-            raise SourceError([Problem(place, "one http block is needed")] if place else [])
+            place = blocks[1].place if blocks else Place(tree[0].place.file if tree else "the file", 1)
+            raise SourceError([Problem(place, f"one http block is needed, {len(blocks)} stand there")])
         self.http = blocks[0]
         self.servers = parse_servers(self.http)
         self.groups = groups(self.http)
--- a/tests/test_nginx_evaluate.py
+++ b/tests/test_nginx_evaluate.py
@@ -274,6 +274,16 @@
         files(text)
 
 
+@pytest.mark.parametrize(
+    ("text", "told"), [("", "the file:1: "), ("events { }", ":1: "), ("http { }\nhttp { }", ":2: ")]
+)
+def test_one_http_block_is_needed(tmp_path: Path, text: str, told: str) -> None:
+    path = tmp_path / "nginx.conf"
+    path.write_text(text)
+    with pytest.raises(SourceError, match=f"{told}one http block is needed"):
+        Evaluator(read(path))
+
+
 def test_a_map_that_depends_on_itself_is_told(files) -> None:  # type: ignore[no-untyped-def]
     text = files(
         "map $a $b { default $a; } map $b $a { default $b; } server { location / { proxy_pass http://$a; } }"
