The store of a plan without a rate is left alone by its meter again

Change: the replay is for plans with a rate, as before. The bound on settled units is written as the clients' side writes its own.

--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import logging
+import math
 import time
 from dataclasses import dataclass
 from functools import partial
@@ -196,7 +197,7 @@
         self._attempts.pop(ident, None)
         load = read_load(self._settings.report_fields, reply.load)
         # A figure beyond what a request can take is no figure of this server's; it would bind the customer.
-        units = reply.units if reply.units <= (self._settings.most_units or reply.units) else 0.0
+        units = reply.units if reply.units <= (self._settings.most_units or math.inf) else 0.0
         self.do(
             self.table.ended(
                 self.now(),
--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -233,7 +233,8 @@
             own = self.drawn(end)[0] - self.drawn(start)[0]
             self.own = self.own * SHARE_KEEP + max(0.0, min(own, whole))
             self.whole = self.whole * SHARE_KEEP + whole
-        self._anchor(now, start, end, whole)
+        if self.plan.rate > 0:
+            self._anchor(now, start, end, whole)
 
     def _anchor(self, now: float, start: float, end: float, whole: float) -> None:
         """Replay the store: the metered use up to a period's end, our foretelling since then."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -157,6 +157,12 @@
     assert customer.bars(20.0, 1.0, 0.5)
 
 
+def test_the_store_of_a_plan_without_a_rate_rests() -> None:
+    clock, customer = MeterClock(1000.0), Customer(api.Plan(rate=0, burst=8, parallel=4), 3, 0.0)
+    customer.meter(3000.0, 400, clock)
+    assert customer.anchor == (8, 0.0) and customer.store.level == 8
+
+
 def test_own_sends_past_the_whole_quota_are_beyond() -> None:
     customer = Customer(PLAN, 1, 0.0)
     passed = 0
