nginx: maps and networks are read once; one way to split a proxy_pass and to search a path

Cause, found on reading the change once more: a map's rows were sorted out, and a geo's networks parsed, for each request; an expression was run twice to match and to capture; the path that goes on was found by way of a location made up for the purpose, and the server and the path of a proxy_pass were split in two places, of which one cut a socket's name at its first slash.

Change: Map and Geo read their rows once; Location.search serves matching and captures, which replace earlier numbers as elsewhere; split_url and passed_path serve every proxy_pass; variables of headers are set once a request. A server's own answer is told before any location is sought. Tests of the walk are typed.

--- a/basaltpoint/importers/nginx/reference/evaluate.py
+++ b/basaltpoint/importers/nginx/reference/evaluate.py
@@ -5,8 +5,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from basaltpoint.importers.nginx.reference.locations import Location, find, passed_path
-from basaltpoint.importers.nginx.reference.regex import captures, compiled
+from basaltpoint.importers.nginx.reference.locations import (
+    OTHER_HANDLERS,
+    Location,
+    find,
+    passed_path,
+    split_url,
+)
 from basaltpoint.importers.nginx.reference.rewrite import Step, run
 from basaltpoint.importers.nginx.reference.servers import Chosen, choose_server, parse_servers
 from basaltpoint.importers.nginx.reference.upstreams import groups, with_port
@@ -15,14 +20,8 @@
 from basaltpoint.importers.nginx.source import Directive, Place, Problem, SourceError
 
 CYCLES = 10  # internal redirects by rewrite; one more is answered with 500
-# They choose who answers by what is not told here: files, methods, other requests.
-BEYOND = (
-    "try_files",
-    "auth_request",
-    "fastcgi_pass",
-    "uwsgi_pass",
-    "scgi_pass",
-)
+# They choose who answers by what is not told here: files, other requests, other protocols.
+BEYOND = ("try_files", "auth_request", *OTHER_HANDLERS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,10 +76,10 @@
     def _walk(self, chosen: Chosen, scope: Scope) -> Result:
         server = chosen.server.block
         step = run(server, scope)
+        if step.code:
+            return Result(step.code, step.text, server)
         changed = step.changed
         for _ in range(CYCLES + 1):
-            if step.code:
-                return Result(step.code, step.text, server)
             found = find(server, scope.uri)
             if found.redirect:
                 query = b"?" + scope.args if scope.args else b""
@@ -88,8 +87,8 @@
             location = found.location
             if location is None:
                 return Result(404, "", server)
-            if location.form in ("~", "~*"):
-                self._captured(location, scope)
+            if location.regex and (match := location.search(scope.uri)):
+                scope.capture(match)
             if location.block.last("internal") and not changed:
                 return Result(404, "", server, location.block)
             step = run(location.block, scope)
@@ -100,11 +99,6 @@
                 return self._answer(server, location, step, scope, changed)
         return Result(500, "rewrites lead round", server)
 
-    def _captured(self, location: Location, scope: Scope) -> None:
-        expression = compiled(location.text, location.block.place, location.form == "~*")
-        if match := expression.search(scope.uri.decode("latin-1")):
-            scope.known.update(captures(match))
-
     def _answer(
         self, server: Directive, location: Location, step: Step, scope: Scope, changed: bool
     ) -> Result:
@@ -128,8 +122,7 @@
         url = scope.expand(proxy.args[0], proxy.place)
         if not url.startswith("http://"):
             raise NotEvaluatedError(proxy.place, f"proxy_pass to {url}")
-        rest = url.removeprefix("http://")
-        name = rest.partition("/")[0]
+        name, own = split_url(url)
         group = self.groups.get(name)
         headers, removed = self._headers(step.conf, name, scope)
         return Result(
@@ -138,46 +131,22 @@
             upstream=name,
             candidates=group.candidates() if group else (with_port(name),),
             spares=group.spares() if group else (),
-            target=self._target(proxy, rest, location, owner, step, scope, changed),
+            target=_target(proxy, own, location, step, scope, changed),
             headers=headers,
             removed=removed,
         )
 
-    def _target(
-        self,
-        proxy: Directive,
-        rest: str,
-        location: Location,
-        owner: Directive,
-        step: Step,
-        scope: Scope,
-        changed: bool,
-    ) -> bytes:
-        query = b"?" + scope.args if scope.args else b""
-        if "$" in proxy.args[0] and "/" in rest:
-            return rest[rest.index("/") :].encode("latin-1")  # as it is written, in place of the request's
-        raw = scope.request.target.partition(b"#")[0].partition(b"?")[0]
-        here = Location(owner, location.form, location.text)
-        if step.changed or "$" in proxy.args[0]:
-            # Changed in this very location, or with variables: a path of proxy_pass's own counts no more.
-            bare = Directive("proxy_pass", ("http://x",), proxy.place)
-            here = Location(
-                Directive("location", owner.args, owner.place, (bare,)), location.form, location.text
-            )
-        return passed_path(here, scope.uri, raw, changed) + query
-
     def _headers(self, conf: Directive, name: str, scope: Scope) -> tuple[dict[str, str], tuple[str, ...]]:
         """Those of the innermost block that sets any; none are joined over levels."""
         rows = next(
             (rows for block in self._chain(conf) if (rows := list(block.all("proxy_set_header")))), []
         )
-        port = name.removesuffix(":80")
-        headers = {"host": port, "connection": "close"}
+        host = name.removesuffix(":80")
+        scope.known.update({"proxy_host": host, "proxy_add_x_forwarded_for": _forwarded(scope)})
+        headers = {"host": host, "connection": "close"}
         removed = []
         for row in rows:
             key = row.args[0].lower()
-            known = {"proxy_host": port, "proxy_add_x_forwarded_for": _forwarded(scope)}
-            scope.known.update(known)
             headers.pop(key, None)
             if value := scope.expand(row.args[1], row.place):
                 headers[key] = value
@@ -193,6 +162,17 @@
             at = self._above.get(id(at))
 
 
+def _target(proxy: Directive, own: str, location: Location, step: Step, scope: Scope, changed: bool) -> bytes:
+    """Path and arguments that go on; `own` is what `proxy_pass` has behind its server, expanded."""
+    variables = "$" in proxy.args[0]
+    if variables and own:
+        return own.encode("latin-1")  # as it is written, in place of the request's
+    raw = scope.request.target.partition(b"#")[0].partition(b"?")[0]
+    # Changed in this very location, a path goes on whole: one of proxy_pass's own counts no more.
+    path = passed_path(location, proxy, scope.uri, raw, changed, own=not (step.changed or variables))
+    return path + (b"?" + scope.args if scope.args else b"")
+
+
 def _allowed(limit: Directive, method: str) -> bool:
     """GET stands for HEAD, too."""
     return method in limit.args or (method == "HEAD" and "GET" in limit.args)
--- a/basaltpoint/importers/nginx/reference/locations.py
+++ b/basaltpoint/importers/nginx/reference/locations.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from basaltpoint.importers.nginx.reference.regex import compiled
@@ -12,7 +13,7 @@
 from basaltpoint.importers.nginx.source import Directive, Problem, SourceError
 
 FORMS = ("=", "^~", "~", "~*")
-HANDLERS = ("proxy_pass", "fastcgi_pass", "uwsgi_pass", "scgi_pass", "memcached_pass", "grpc_pass")
+OTHER_HANDLERS = ("fastcgi_pass", "uwsgi_pass", "scgi_pass", "memcached_pass", "grpc_pass")
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,9 +28,13 @@
     def prefix(self) -> bool:
         return self.form in ("", "^~")
 
-    def matches(self, path: str) -> bool:
-        """Whether an expression is found in a path."""
-        return compiled(self.text, self.block.place, self.form == "~*").search(path) is not None
+    @property
+    def regex(self) -> bool:
+        return self.form in ("~", "~*")
+
+    def search(self, path: bytes) -> re.Match[str] | None:
+        """Where an expression is found in a path."""
+        return compiled(self.text, self.block.place, self.form == "~*").search(path.decode("latin-1"))
 
 
 def parse_location(block: Directive) -> Location:
@@ -80,39 +85,40 @@
         found = Found(below.location or best)
     if best is None or best.form != "^~":
         for each in locations:
-            if each.form in ("~", "~*") and each.matches(text):
+            if each.regex and each.search(path):
                 below = find(each.block, path)
                 return below if below.final else Found(below.location or each, final=True)
     return found
 
 
 def _proxied(block: Directive) -> bool:
-    return any(True for _ in block.all(*HANDLERS))
+    return any(True for _ in block.all("proxy_pass", *OTHER_HANDLERS))
 
 
-def _own_path(url: str) -> str:
-    """The path behind the server in a `proxy_pass`; that of a socket stands before the last colon."""
+def split_url(url: str) -> tuple[str, str]:
+    """The server or group of a `proxy_pass`, and its own path; behind a socket that stands after a colon."""
     rest = url.partition("://")[2]
     if rest.startswith("unix:"):
-        return rest.removeprefix("unix:").partition(":")[2]
-    slash = rest.find("/")
-    return rest[slash:] if slash >= 0 else ""
+        socket, _, own = rest.removeprefix("unix:").partition(":")
+        return "unix:" + socket, own
+    name, slash, own = rest.partition("/")
+    return name, slash + own
 
 
-def passed_path(location: Location, path: bytes, raw: bytes, changed: bool = False) -> bytes:
-    """The path that a `proxy_pass` without variables sends on, without the arguments.
+def passed_path(
+    location: Location, proxy: Directive, path: bytes, raw: bytes, changed: bool = False, own: bool = True
+) -> bytes:
+    """The path that a location's `proxy_pass` sends on, without the arguments.
 
     `path` is normalized, `raw` as it came. With a path of its own in `proxy_pass` the part that the location
-    matched is replaced by that; without, the request's goes on as it came, or as it was `changed` to.
+    matched is replaced by that; without, or where it does not count (`own`), the request's goes on as it
+    came, or as it was `changed` to.
     Raises SourceError for a path under an expression or a named location: nginx does not start with it.
     """
-    directive = location.block.last("proxy_pass")
-    if directive is None:
-        raise ValueError(f"{location.block.place}: no proxy_pass")
-    own = _own_path(directive.args[0])
-    if not own:
+    replacement = split_url(proxy.args[0])[1] if own else ""
+    if not replacement:
         return escape(path) if changed else raw
     if not location.prefix and location.form != "=":
         text = '"proxy_pass" can\'t have a path in a location given by an expression, or a named one'
-        raise SourceError([Problem(directive.place, text)])
-    return own.encode() + escape(path[len(location.text.encode("latin-1")) :])
+        raise SourceError([Problem(proxy.place, text)])
+    return replacement.encode() + escape(path[len(location.text.encode("latin-1")) :])
--- a/basaltpoint/importers/nginx/reference/uri.py
+++ b/basaltpoint/importers/nginx/reference/uri.py
@@ -57,7 +57,10 @@
 
 
 def host_name(header: str | None) -> str:
-    """The Host header as server names are held against it: lower case, no port, no closing dot."""
+    """The Host header as server names are held against it: lower case, no port, no closing dot.
+
+    The limiter's own rule (routing.path) is the same today and apart on purpose: this one is to check it.
+    """
     if not header:
         return ""
     name = header.partition("]")[0] + "]" if header.startswith("[") else header.partition(":")[0]
--- a/basaltpoint/importers/nginx/reference/variables.py
+++ b/basaltpoint/importers/nginx/reference/variables.py
@@ -9,7 +9,7 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from ipaddress import ip_address, ip_network
+from ipaddress import IPv4Network, IPv6Network, ip_address, ip_network
 
 from basaltpoint.importers.nginx.reference.regex import captures, compiled
 from basaltpoint.importers.nginx.reference.servers import longest_wildcard
@@ -39,45 +39,49 @@
     client: str = "127.0.0.1"
 
 
-@dataclass(frozen=True, slots=True)
-class Table:
-    """A `map` or `geo`."""
-
-    block: Directive
+class Map:
+    """A `map`, its rows sorted out once."""
+
+    def __init__(self, block: Directive) -> None:
+        self.block = block
+        self._default = ""
+        self._hostnames = False
+        self._volatile: Directive | None = None
+        self._texts: dict[str, Directive] = {}
+        self._expressions: list[Directive] = []
+        for row in block.block or ():
+            if row.name == "volatile":
+                self._volatile = row
+            elif row.name == "hostnames" and not row.args:
+                self._hostnames = True
+            elif row.name == "default":
+                self._default = row.args[0]
+            elif row.name.startswith("~"):
+                self._expressions.append(row)
+            else:
+                self._texts[_unescaped(row.name).lower()] = row
 
     def value(self, scope: Scope) -> str:
-        return _geo(self.block, scope) if self.block.name == "geo" else _map(self.block, scope)
-
-
-def _map(block: Directive, scope: Scope) -> str:
-    """An equal text goes first (case does not count), then wildcards, the first expression, the default."""
-    source = scope.expand(block.args[0], block.place)
-    default, hostnames = "", False
-    texts: dict[str, Directive] = {}
-    expressions = []
-    for row in block.block or ():
-        if row.name == "volatile":
-            raise NotEvaluatedError(row.place, "map: volatile")
-        if row.name == "hostnames" and not row.args:
-            hostnames = True
-        elif row.name == "default":
-            default = row.args[0]
-        elif row.name.startswith("~"):
-            expressions.append(row)
-        else:
-            texts[_unescaped(row.name).lower()] = row
-    key = source.lower().removesuffix(".") if hostnames else source.lower()
-    found = texts.get(key) or (texts.get("." + key) if hostnames else None)
-    if found is None and hostnames and (name := longest_wildcard(texts, key)):
-        found = texts[name]
-    if found:
-        return scope.expand(found.args[0], found.place)
-    for row in expressions:
-        ignore = row.name.startswith("~*")
-        if match := compiled(row.name[1 + ignore :], row.place, ignore).search(source):
-            scope.capture(match)
-            return scope.expand(row.args[0], row.place)
-    return scope.expand(default, block.place)
+        """An equal text goes first, whatever its case; then wildcards, the first expression, the default."""
+        if self._volatile:
+            raise NotEvaluatedError(self._volatile.place, "map: volatile")
+        source = scope.expand(self.block.args[0], self.block.place)
+        if found := self._text(source.lower()):
+            return scope.expand(found.args[0], found.place)
+        for row in self._expressions:
+            ignore = row.name.startswith("~*")
+            if match := compiled(row.name[1 + ignore :], row.place, ignore).search(source):
+                scope.capture(match)
+                return scope.expand(row.args[0], row.place)
+        return scope.expand(self._default, self.block.place)
+
+    def _text(self, key: str) -> Directive | None:
+        if not self._hostnames:
+            return self._texts.get(key)
+        key = key.removesuffix(".")
+        name = next((each for each in (key, "." + key) if each in self._texts), None)
+        name = name or longest_wildcard(self._texts, key)
+        return self._texts[name] if name else None
 
 
 def _unescaped(name: str) -> str:
@@ -85,32 +89,49 @@
     return name[1:] if name.startswith("\\") else name
 
 
-def _geo(block: Directive, scope: Scope) -> str:
-    """The value of the narrowest network that holds the client's address, or another variable's."""
-    source = scope.expand(block.args[0], block.place) if len(block.args) > 1 else scope.request.client
-    try:
-        address = ip_address(source)
-    except ValueError:
-        address = ip_address("255.255.255.255")  # what is no address counts as this one
-    value, longest = "", -1
-    for row in block.block or ():
-        if row.name in ("ranges", "proxy", "proxy_recursive", "delete"):
-            raise NotEvaluatedError(row.place, f"geo: {row.name}")
-        if row.name == "default":
-            value, longest = (row.args[0], 0) if longest <= 0 else (value, longest)
-            continue
+class Geo:
+    """A `geo`, its networks read once. Raises SourceError for one that is none."""
+
+    def __init__(self, block: Directive) -> None:
+        self.block = block
+        self._default = ""
+        self._refused: Directive | None = None
+        self._networks: list[tuple[IPv4Network | IPv6Network, str]] = []
+        for row in block.block or ():
+            if row.name in ("ranges", "proxy", "proxy_recursive", "delete"):
+                self._refused = row
+            elif row.name == "default":
+                self._default = row.args[0]
+            else:
+                self._networks.append((_network(row), row.args[0]))
+
+    def value(self, scope: Scope) -> str:
+        """That of the narrowest network that holds the client's address, or another variable's."""
+        if self._refused:
+            raise NotEvaluatedError(self._refused.place, f"geo: {self._refused.name}")
+        args, place = self.block.args, self.block.place
+        source = scope.expand(args[0], place) if len(args) > 1 else scope.request.client
         try:
-            network = ip_network(row.name, strict=False)
-        except ValueError as error:
-            raise SourceError([Problem(row.place, f"geo: {error}")]) from None
-        if network.version == address.version and address in network and network.prefixlen > longest:
-            value, longest = row.args[0], network.prefixlen
-    return value
+            address = ip_address(source)
+        except ValueError:
+            address = ip_address("255.255.255.255")  # what is no address counts as this one
+        fit = [pair for pair in self._networks if address in pair[0]]
+        return max(fit, key=lambda pair: pair[0].prefixlen)[1] if fit else self._default
+
+
+def _network(row: Directive) -> IPv4Network | IPv6Network:
+    try:
+        return ip_network(row.name, strict=False)
+    except ValueError as error:
+        raise SourceError([Problem(row.place, f"geo: {error}")]) from None
 
 
-def tables(http: Directive) -> dict[str, Table]:
+def tables(http: Directive) -> dict[str, Map | Geo]:
     """The maps and geos of an http block by the variable they define; the last of a name counts."""
-    return {block.args[-1].removeprefix("$"): Table(block) for block in http.all("map", "geo")}
+    return {
+        block.args[-1].removeprefix("$"): Geo(block) if block.name == "geo" else Map(block)
+        for block in http.all("map", "geo")
+    }
 
 
 @dataclass
@@ -120,7 +141,7 @@
     request: Request
     uri: bytes
     args: bytes
-    maps: Mapping[str, Table]
+    maps: Mapping[str, Map | Geo]
     names: tuple[str, ...] = ()  # that a `set` anywhere defines: empty until it ran
     known: dict[str, str] = field(default_factory=dict)
     pending: set[str] = field(default_factory=set)
--- a/tests/test_nginx_evaluate.py
+++ b/tests/test_nginx_evaluate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -30,8 +31,11 @@
         return self.evaluator.evaluate(Request(method, target, {"host": host, **names}))
 
 
+Make = Callable[[str], Files]
+
+
 @pytest.fixture
-def files(tmp_path: Path):  # type: ignore[no-untyped-def]
+def files(tmp_path: Path) -> Make:
     return lambda text: Files(tmp_path, text)
 
 
@@ -40,19 +44,29 @@
     return result.upstream, result.target
 
 
-def test_a_group_tells_whom_it_asks_first(files) -> None:  # type: ignore[no-untyped-def]
+def test_a_group_tells_whom_it_asks_first(files: Make) -> None:
     result = files("server { location / { proxy_pass http://main; } }").ask(b"/x?y=1")
     assert sent(result) == ("main", b"/x?y=1")
     assert result.candidates == ("127.0.0.1:9001", "127.0.0.1:9002")
     assert result.spares == ("127.0.0.1:9003",)
 
 
-def test_a_host_that_is_no_group_is_a_server_at_port_80(files) -> None:  # type: ignore[no-untyped-def]
+def test_a_host_that_is_no_group_is_a_server_at_port_80(files: Make) -> None:
     text = "server { location / { proxy_pass http://10.1.1.1/a/; } location /o { proxy_pass http://other; } }"
     assert files(text).ask(b"/b").candidates == ("10.1.1.1:80",)
     assert files(text).ask(b"/o").candidates == ("127.0.0.1:80",)
 
 
+def test_a_socket_is_a_server_and_its_path_stands_behind_a_colon(files: Make) -> None:
+    """Its name was cut at the first slash."""
+    text = files(
+        "server { location / { proxy_pass http://unix:/run/a.sock; }"
+        " location /b/ { proxy_pass http://unix:/run/b.sock:/c/; } }"
+    )
+    assert text.ask(b"/x").candidates == ("unix:/run/a.sock",)
+    assert sent(text.ask(b"/b/x?y")) == ("unix:/run/b.sock", b"/c/x?y")
+
+
 REWRITES = """
 server {
     rewrite ^/old/(.*)$ /new/$1;
@@ -87,7 +101,7 @@
         (b"/old/a%20b%2F", "main", b"/new/a%20b/"),  # a changed path is written anew
     ],
 )
-def test_rewrites_lead_on(files, target: bytes, upstream: str, passed: bytes) -> None:  # type: ignore[no-untyped-def]
+def test_rewrites_lead_on(files: Make, target: bytes, upstream: str, passed: bytes) -> None:
     assert sent(files(REWRITES).ask(target)) == (upstream, passed)
 
 
@@ -103,11 +117,19 @@
         (b"/../x", 400, "the path climbs above its root"),
     ],
 )
-def test_rewrites_end(files, target: bytes, code: int, text: str) -> None:  # type: ignore[no-untyped-def]
+def test_rewrites_end(files: Make, target: bytes, code: int, text: str) -> None:
     result = files(REWRITES).ask(target)
     assert (result.code, result.text) == (code, text)
 
 
+def test_a_server_may_answer_before_any_location(files: Make) -> None:
+    text = "server { if ($arg_gone) { return 410; } rewrite ^/away https://b.org/; location / { proxy_pass http://main; } }"
+    result = files(text).ask(b"/x?gone=1")
+    assert (result.code, result.location) == (410, None)
+    assert (files(text).ask(b"/away").code, files(text).ask(b"/away").text) == (302, "https://b.org/")
+    assert sent(files(text).ask(b"/x")) == ("main", b"/x")
+
+
 IFS = """
 map $http_x_tier $pool { default main; gold other; "~^g" main; }
 server {
@@ -133,7 +155,7 @@
 """
 
 
-def test_set_and_if_choose_the_server(files) -> None:  # type: ignore[no-untyped-def]
+def test_set_and_if_choose_the_server(files: Make) -> None:
     text = files(IFS)
     assert sent(text.ask(b"/x?v=1")) == ("main", b"/x?v=1")
     assert sent(text.ask(b"/x", method="POST")) == ("other", b"/x")
@@ -143,12 +165,12 @@
 
 
 @pytest.mark.parametrize(("tier", "upstream"), [("", "main"), ("Gold", "other"), ("grey", "main")])
-def test_a_map_is_read_text_before_expression(files, tier: str, upstream: str) -> None:  # type: ignore[no-untyped-def]
+def test_a_map_is_read_text_before_expression(files: Make, tier: str, upstream: str) -> None:
     """And what variables put behind the server replaces the request's path and arguments."""
     assert sent(files(IFS).ask(b"/mapped/deep?q=1", x_tier=tier)) == (upstream, b"/m?q=1")
 
 
-def test_a_true_if_takes_the_place_of_the_locations_settings(files) -> None:  # type: ignore[no-untyped-def]
+def test_a_true_if_takes_the_place_of_the_locations_settings(files: Make) -> None:
     """Its proxy_pass, where it has one; headers, which it can't set, and else all are those around it."""
     text = files(IFS)
     plain, true, other = text.ask(b"/if/x"), text.ask(b"/if/x", x_b="b"), text.ask(b"/if/x", x_c="1")
@@ -158,7 +180,7 @@
 
 
 @pytest.mark.parametrize("target", [b"/file", b"/unknown", b"/static", b"/try"])
-def test_what_is_not_certain_is_not_evaluated(files, target: bytes) -> None:  # type: ignore[no-untyped-def]
+def test_what_is_not_certain_is_not_evaluated(files: Make, target: bytes) -> None:
     with pytest.raises(NotEvaluatedError, match=r"nginx\.conf:\d+: "):
         files(IFS).ask(target)
 
@@ -190,12 +212,12 @@
         ("::2", b"/far"),
     ],
 )
-def test_a_geo_goes_by_the_narrowest_network(files, client: str, value: bytes) -> None:  # type: ignore[no-untyped-def]
+def test_a_geo_goes_by_the_narrowest_network(files: Make, client: str, value: bytes) -> None:
     request = Request("GET", b"/", {"host": "a.org"}, client=client)
     assert sent(files(LIMITED).evaluator.evaluate(request)) == ("main", value)
 
 
-def test_a_geo_may_go_by_another_variable(files) -> None:  # type: ignore[no-untyped-def]
+def test_a_geo_may_go_by_another_variable(files: Make) -> None:
     assert sent(files(LIMITED).ask(b"/from", x_from="10.9.9.9"))[0] == "main"
     with pytest.raises(SourceError, match="geo: "):
         files("geo $g { 10.0.0.0/99 x; } server { location / { proxy_pass http://$g; } }").ask(b"/")
@@ -213,11 +235,11 @@
         ("c.org", b"/none"),
     ],
 )
-def test_a_map_of_hostnames_takes_wildcards(files, host: str, value: bytes) -> None:  # type: ignore[no-untyped-def]
+def test_a_map_of_hostnames_takes_wildcards(files: Make, host: str, value: bytes) -> None:
     assert sent(files(LIMITED).ask(b"/host", x_host=host)) == ("main", value)
 
 
-def test_methods_may_be_kept_out_or_led_elsewhere(files) -> None:  # type: ignore[no-untyped-def]
+def test_methods_may_be_kept_out_or_led_elsewhere(files: Make) -> None:
     text = files(LIMITED)
     assert sent(text.ask(b"/read", method="HEAD")) == ("main", b"/read")
     assert text.ask(b"/read", method="POST").code == 403
@@ -243,7 +265,7 @@
 """
 
 
-def test_headers_are_inherited_whole_or_not_at_all(files) -> None:  # type: ignore[no-untyped-def]
+def test_headers_are_inherited_whole_or_not_at_all(files: Make) -> None:
     text = files(HEADERS)
     assert text.ask(b"/plain").headers == {"host": "main", "connection": "close", "x-all": "all"}
     own = text.ask(b"/own", host="A.org:80", x_forwarded_for="1.2.3.4")
@@ -253,7 +275,7 @@
     assert text.ask(b"/own/inherits").headers["host"] == "a.org"
 
 
-def test_captures_of_names_and_locations_are_variables(files) -> None:  # type: ignore[no-untyped-def]
+def test_captures_of_names_and_locations_are_variables(files: Make) -> None:
     text = files(
         "server { server_name ~^(?<pool>\\w+)\\.x\\.org$;"
         " location ~ ^/(?<part>\\w+)/(\\d+)$ { proxy_pass http://$pool/$part-$2; } }"
@@ -269,7 +291,7 @@
         ("upstream w { server 127.0.0.1 weight=0; }", "weight=0 is no number above 0"),
     ],
 )
-def test_groups_that_cannot_be_are_told(files, text: str, told: str) -> None:  # type: ignore[no-untyped-def]
+def test_groups_that_cannot_be_are_told(files: Make, text: str, told: str) -> None:
     with pytest.raises(SourceError, match=told):
         files(text)
 
@@ -284,7 +306,7 @@
         Evaluator(read(path))
 
 
-def test_a_map_that_depends_on_itself_is_told(files) -> None:  # type: ignore[no-untyped-def]
+def test_a_map_that_depends_on_itself_is_told(files: Make) -> None:
     text = files(
         "map $a $b { default $a; } map $b $a { default $b; } server { location / { proxy_pass http://$a; } }"
     )
--- a/tests/test_nginx_reference.py
+++ b/tests/test_nginx_reference.py
@@ -252,6 +252,13 @@
 
 
 # --- What goes on ---------------------------------------------------------------------------------
+def passed(found: Found, path: bytes, raw: bytes, changed: bool = False) -> bytes:
+    assert found.location
+    proxy = found.location.block.last("proxy_pass")
+    assert proxy
+    return passed_path(found.location, proxy, path, raw, changed)
+
+
 @pytest.mark.parametrize(
     ("location", "url", "raw", "sent"),
     [
@@ -270,20 +277,17 @@
     block = server(tmp_path, f"location {location} {{ proxy_pass {url}; }}")
     path, _ = normalize(raw)
     found = find(block, path)
-    assert found.location and passed_path(found.location, path, raw.partition(b"?")[0]) == sent
+    assert passed(found, path, raw.partition(b"?")[0]) == sent
 
 
 def test_a_changed_path_goes_on_as_it_was_changed_to(tmp_path: Path) -> None:
     block = server(tmp_path, "location / { proxy_pass http://u; }")
     found = find(block, b"/new path")
-    assert (
-        found.location and passed_path(found.location, b"/new path", b"/old", changed=True) == b"/new%20path"
-    )
+    assert passed(found, b"/new path", b"/old", changed=True) == b"/new%20path"
 
 
 def test_a_path_of_its_own_under_an_expression_is_refused(tmp_path: Path) -> None:
     block = server(tmp_path, "location ~ ^/a { proxy_pass http://u/b; }")
     found = find(block, b"/a")
-    assert found.location
     with pytest.raises(SourceError, match=r"nginx\.conf:3: .*can't have a path"):
-        passed_path(found.location, b"/a", b"/a")
+        passed(found, b"/a", b"/a")
