--- a/tests/test_nginx_evaluate.py
+++ b/tests/test_nginx_evaluate.py
@@ -123,11 +123,14 @@
 
 
 def test_a_server_may_answer_before_any_location(files: Make) -> None:
-    text = "server { if ($arg_gone) { return 410; } rewrite ^/away https://b.org/; location / { proxy_pass http://main; } }"
-    result = files(text).ask(b"/x?gone=1")
-    assert (result.code, result.location) == (410, None)
-    assert (files(text).ask(b"/away").code, files(text).ask(b"/away").text) == (302, "https://b.org/")
-    assert sent(files(text).ask(b"/x")) == ("main", b"/x")
+    text = files(
+        "server { if ($arg_gone) { return 410; } rewrite ^/away https://b.org/;"
+        " location / { proxy_pass http://main; } }"
+    )
+    gone, away = text.ask(b"/x?gone=1"), text.ask(b"/away")
+    assert (gone.code, gone.location) == (410, None)
+    assert (away.code, away.text) == (302, "https://b.org/")
+    assert sent(text.ask(b"/x")) == ("main", b"/x")
 
 
 IFS = """
