Suspects count only while they are few; load reports are smoothed and without own requests

(2) In a jam five of six servers were suspects for 8 s, as each was silent for the time of one attempt, and all work went to the sixth; fleet.choose never asked all_slow, which is there for this.

--- a/basaltpoint/policy/fleet.py
+++ b/basaltpoint/policy/fleet.py
@@ -154,12 +154,14 @@
     def choose(self, now: float, allowed: Callable[[Peer], bool], avoid: set[int]) -> Peer | None:
         """The cheapest of a few random servers, against herding; suspects only where no other is left."""
 
+        jam = self.all_slow()
+
         def rank(peer: Peer) -> tuple[bool, float]:
             # A zone cut off or restarting at once: with many gateways nobody can try each of its servers.
             missed, last = self.missed.get(peer.entry.zone, (0, 0.0))
             cut = missed >= ZONE_MISSES and now < last + RETEST_MS
             health = peer.health
-            shunned = (health.suspect and now < health.retest_ms) or health.avoid_ms > now
+            shunned = (health.suspect and not jam and now < health.retest_ms) or health.avoid_ms > now
             shunned = shunned or peer.entry.id in avoid
             return shunned or cut, self.cost(peer, now)
 
@@ -206,10 +208,11 @@
         if peer is None or not values:
             return
         seen = dict(zip(self.settings.report_fields, values, strict=False))
-        held = seen.get("inflight", seen.get("queue", 0.0))
-        peer.load = held + BUSY_WEIGHT * min(1.0, seen.get("util", 0.0)) ** 2
+        held = max(0.0, seen.get("inflight", seen.get("queue", 0.0)) - peer.waiting)
+        load = held + BUSY_WEIGHT * min(1.0, seen.get("util", 0.0)) ** 2
+        peer.load += USUAL_PART * (load - peer.load)
         peer.load_ms = now
-        self.usual += USUAL_PART * (peer.load - self.usual)
+        self.usual += USUAL_PART * (load - self.usual)
 
     def clear(self, peer: Peer) -> None:
         peer.health.suspect, peer.health.backoff = False, 0
