--- a/basaltpoint/policy/pool.py
+++ b/basaltpoint/policy/pool.py
@@ -94,8 +94,8 @@
 
     def _rerun(self, now: float, actions: list[api.Action]) -> None:
         """Estimate the load from the window and set the lane caps by the search."""
-        for queue in (self.latencies, self.lost, self.arrivals):
-            while queue and queue[0][0] < now - (WINDOW_MS if len(queue) > FEWEST else OLDEST_MS):
+        for queue, least in ((self.latencies, FEWEST), (self.arrivals, FEWEST), (self.lost, 0)):
+            while queue and queue[0][0] < now - (WINDOW_MS if len(queue) > least else OLDEST_MS):
                 queue.popleft()
         lanes: list[list[float]] = [[], []]
         aim = min((c.aim_ms for c, lane in self.members() if lane == 0), default=INF)
