Lane caps add up to our part of one request a server at least

Change: pool.tick lifts the caps so that all limiters together may have one request out a server; one is no jam.

--- a/basaltpoint/policy/pool.py
+++ b/basaltpoint/policy/pool.py
@@ -78,6 +78,11 @@
         if now - self.rerun_ms >= RERUN_MS:
             self.rerun_ms = now
             self._rerun(now, actions)
+            # One request a server is no jam, and caps that went on falling in one would hold its mean count
+            # down for good: by the search's scale, caps follow what is out.
+            whole = sum(self.caps[lane] for lane in set(self.lanes.values()))
+            up = len(self.fleet.ready) / max(1, self.settings.gateways) / max(whole, 1e-9)
+            self.caps = (self.caps[0] * max(1.0, up), self.caps[1] * max(1.0, up))
         return actions
 
     def room(self, lane: int) -> float:
