Lost answers and silent servers are told from a jam by what the others do at the time

Change: answers are found to get lost by the last 1.5 s; a silent server is doubted where its time-out is three medians or more.

--- a/basaltpoint/policy/fleet.py
+++ b/basaltpoint/policy/fleet.py
@@ -22,6 +22,7 @@
 BUSY_WEIGHT = 2.0  # requests that a wholly busy report counts for; 0 and 6 were no better
 LOOKS = 12  # random servers looked at for a send
 USUAL_PART = 0.1  # of a report that goes into the usual load, which stands for a missing or old one
+SILENCE = 3.0  # of the median latency; a server that is silent for less may just be slow
 ZONE_MISSES = 3  # failures with no answer from a zone between; it is then left alone but for trials
 REPORT_MS = 1500.0  # ms; a load report older than this says nothing
 
@@ -68,7 +69,7 @@
         self.ready: list[Peer] = []
         self.suspects: set[int] = set()
         self.missed: dict[int, tuple[int, float]] = {}  # of a zone: failures since its last answer, when
-        self.mean_ms = REFERENCE_MS
+        self.mean_ms = self.median_ms = REFERENCE_MS
         self.usual = 0.0
         self.let_in: deque[float] = deque()
 
@@ -194,7 +195,9 @@
             elif event.status is not Status.RESET:
                 self.clear(peer)
         # Silence while it had work is the sign of a vanished server, a refused connection of a lost one.
-        silent = event.status is Status.TIMEOUT and health.heard_ms < now - event.elapsed_ms
+        # In a jam it is common: only beside others that answered several times over does it tell of one server.
+        quiet = event.elapsed_ms >= SILENCE * self.median_ms and health.heard_ms < now - event.elapsed_ms
+        silent = event.status is Status.TIMEOUT and quiet
         if event.status is Status.FULL:
             health.avoid_ms = now + FULL_MS
         elif silent or event.status is Status.CONNECT_FAILED:
--- a/basaltpoint/policy/pool.py
+++ b/basaltpoint/policy/pool.py
@@ -21,6 +21,7 @@
 TIGHT = 1.34  # times the tightest aim: what still counts as tight; nearer aims are one lane
 FLOORS = tuple(n / 10 for n in range(9, 1, -1))  # of lane two's arrivals as T: the highest feasible
 LOW_RISE = 1.3  # a rerun; how fast the remembered light-load latency may rise: doubles in some 2 s
+LOSS_MS = 1500.0  # ms
 LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
 QUICK = 0.25  # of the tightest aim; three in four answers within it are quick
 LATE = 0.65  # of the time left; repeatable work is given up then while more is lost than is late
@@ -81,10 +82,14 @@
             # One request a server is no jam, and caps that went on falling in one would hold its mean count
             # down for good: by the search's scale, caps follow what is out.
             whole = sum(self.caps[lane] for lane in set(self.lanes.values()))
-            up = len(self.fleet.ready) / max(1, self.settings.gateways) / max(whole, 1e-9)
+            up = self._fair() / max(whole, 1e-9)
             self.caps = (self.caps[0] * max(1.0, up), self.caps[1] * max(1.0, up))
         return actions
 
+    def _fair(self) -> float:
+        """Our part of one request a server."""
+        return len(self.fleet.ready) / max(1, self.settings.gateways)
+
     def room(self, lane: int) -> float:
         """Requests that the lane may take still; below one, the chance that it takes one more."""
         return self.caps[lane] + POOLING * math.sqrt(self.caps[lane]) - self.count[lane]
@@ -107,8 +112,10 @@
         # Lost answers are told from a jam by the others, which come quickly: no load, worth another try.
         # It also covers vanished servers; it would feed a jam whose time-outs are one class's alone.
         quick = sorted(elapsed for *_, elapsed in self.latencies)
-        heavy = len(self.lost) > LOSS * (len(self.lost) + len(quick))
-        before, self.lossy = self.lossy, len(quick) > 3 and heavy and quick[len(quick) * 3 // 4] < QUICK * aim
+        recent = sorted(elapsed for at, _, elapsed in self.latencies if at > now - LOSS_MS)
+        lost = sum(1 for at, *_ in self.lost if at > now - LOSS_MS)
+        heavy = lost > LOSS * (lost + len(recent))
+        before, self.lossy = self.lossy, len(recent) > 3 and heavy and recent[len(recent) * 3 // 4] < QUICK * aim
         late = sum(1 for elapsed in quick if elapsed > LATE * aim)
         enough = len(self.lost) >= max(2.0, STRAY * len(quick))
         self.strays = len(quick) > FEWEST and enough and late <= TAIL * len(quick)
@@ -119,6 +126,7 @@
         every = sorted(lanes[0] + lanes[1])
         if every:
             self.fleet.mean_ms = max(1.0, sum(every) / len(every))
+            self.fleet.median_ms = every[len(every) // 2]
         if len(every) < FEWEST or not lanes[0]:
             return
         low = [self._light(which, lane) for which, lane in enumerate(lanes)]
