A jam shows within a second: what is out counts by its age, and the window holds 120 answers

Change: pool.py takes what is out for longer than the mean as a latency of its age, up to its time-out, and keeps the last 120 answers where 5 s hold more. An answer that streams is no longer out.

--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import random
 import time
 from functools import partial
 
@@ -18,9 +19,10 @@
 from basaltpoint.fronts.shell import Shell
 from basaltpoint.interface import Effect as Repeats
 from basaltpoint.interface import ServerState, Status, Why
+from basaltpoint.membership.checks import Checks
 from basaltpoint.policy import Gateway
 from basaltpoint.routing.accounts import Stranger, client_address, trusts
-from basaltpoint.upstream.servers import Answer, Servers
+from basaltpoint.upstream.servers import TIMER_S, Answer, Servers
 from basaltpoint.upstream.streams import StreamAnswers, StreamAttempt
 
 log = logging.getLogger(__name__)
@@ -55,6 +57,8 @@
         self._pools: set[int] = set()
         self._passages: dict[int, Passage] = {}  # that wait for their reply
         self._attempts: dict[int, StreamAttempt] = {}  # the one that is out, by request
+        self._checks = Checks(random.Random(seed))
+        self._checking: asyncio.TimerHandle | None = None
         self._memory = int(file.limits.memory_mb * (1 << 20))
         self._held = 0  # bytes of bodies
         self.gateway.born = self.now() - down_ms  # what ceilings have filled since then is sure
@@ -86,11 +90,15 @@
         for number in before.keys() - self._placed.keys():
             self.servers.remove(number)
             del self._started[number]
+        rules = {spec.number: spec.probe for spec in setup.servers if spec.probe and not spec.drain}
+        for number in self._checks.listed(now, rules):
+            self.do(self.table.tell(now, api.Checked(number, True)))
+        self._arm_checks()
 
     def _server(self, spec: ServerSpec) -> api.Server:
         state = ServerState.DRAINING if spec.drain else ServerState.READY
         started = self._started[spec.number]
-        return api.Server(spec.number, spec.zone, 0, state, spec.weight, started, spec.probe)
+        return api.Server(spec.number, spec.zone, 0, state, spec.weight, started)
 
     # --- What clients bring --------------------------------------------------------------------------
     def admit(self, connection: ClientConnection, request: Request) -> Passage:
@@ -215,8 +223,6 @@
                     passage.reply(effect)
             case Withdraw():
                 self._withdraw(effect)
-            case api.Probe():
-                self._probe(effect.server)
             case api.CloseIdle():
                 self.servers.close_idle(effect.server)
             case api.Log():
@@ -251,21 +257,35 @@
         if attempt := self._attempts.get(effect.request):
             attempt.cancel()
 
-    def _probe(self, server: int) -> None:
-        health, now, check = self.setup.file.health, self.now(), Check()
-        if health is None or server not in self._placed:
-            self.do(self.table.tell(now, api.ProbeResult(server, Status.CANCELLED, 0.0)))
-            return
+    # --- Active checks -------------------------------------------------------------------------------
+    def _arm_checks(self) -> None:
+        if self._checking:
+            self._checking.cancel()
+            self._checking = None
+        if (due := self._checks.next_ms) is not None:
+            when = self.loop_time(due) + TIMER_S
+            self._checking = asyncio.get_running_loop().call_at(when, self._check_due)
+
+    def _check_due(self) -> None:
+        for server in self._checks.due(self.now()):
+            self._check(server)
+        self._arm_checks()
+
+    def _check(self, server: int) -> None:
+        health, check = self.setup.file.health, Check()
+        assert health  # a server has a rule by it alone
         host, port = self._placed[server].address
         name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         raw = f"GET {health.path} HTTP/1.1\r\nHost: {name}\r\nUser-Agent: {self.setup.file.name}\r\n\r\n"
 
         def ended(answer: Answer) -> None:
             good = answer.status is Status.OK and check.good
-            status = Status.OK if good else Status.ERROR
-            self.do(self.table.tell(self.now(), api.ProbeResult(server, status, self.now() - now)))
+            if (up := self._checks.heard(self.now(), server, good)) is not None:
+                log.info("server %d is %s by its checks", server, "up" if up else "down")
+                self.do(self.table.tell(self.now(), api.Checked(server, up)))
+            self._arm_checks()
 
-        until = self.loop_time(now + health.timeout_ms)
+        until = self.loop_time(self.now() + health.timeout_ms)
         self.servers.begin(server, StreamAttempt(raw.encode(), until, ended, check, False))
 
     # --- What goes with a refusal ----------------------------------------------------------------------
@@ -321,4 +341,6 @@
         for attempt in list(self._attempts.values()):
             attempt.cancel()
         self.servers.close()
+        if self._checking:
+            self._checking.cancel()
         self.disarm()
--- a/basaltpoint/interface.py
+++ b/basaltpoint/interface.py
@@ -147,7 +147,6 @@
     state: ServerState
     rating: float
     started_ms: float
-    probe: ProbeRule | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +240,14 @@
     report: tuple[float, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Checked:
+    """The verdict of active checks on a server has changed."""
+
+    server: int
+    good: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     sender: int
@@ -266,6 +273,7 @@
     | Abandoned
     | TimerFired
     | ProbeResult
+    | Checked
     | PeerMessage
     | CounterTotal
 )
--- a/basaltpoint/policy/fleet.py
+++ b/basaltpoint/policy/fleet.py
@@ -38,9 +38,8 @@
     backoff: int = 0
     errors: int = 0  # since its last good answer
     avoid_ms: float = -INF
-    up_ms: float = 0.0  # when probes last found it back
-    down: bool = False  # by probes
-    streak: int = 0  # of probes that speak against `down`
+    up_ms: float = 0.0  # when checks last found it back
+    down: bool = False  # by checks
     fleets: list[Fleet] = field(default_factory=list)
 
 
@@ -195,7 +194,7 @@
             elif event.status is not Status.RESET:
                 self.clear(peer)
         # Silence while it had work is the sign of a vanished server, a refused connection of a lost one.
-        # In a jam it is common: only beside others that answered several times over does it tell of one server.
+        # In a jam it is common: only beside others that answer several times over does it tell of one.
         quiet = event.elapsed_ms >= SILENCE * self.median_ms and health.heard_ms < now - event.elapsed_ms
         silent = event.status is Status.TIMEOUT and quiet
         if event.status is Status.FULL:
--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -17,7 +17,6 @@
 from basaltpoint.interface import Effect, Scope, Status, Why
 from basaltpoint.policy.fleet import Health, Peer
 from basaltpoint.policy.pool import FEWEST, LATE, Pool
-from basaltpoint.policy.probes import TOKEN, Probes
 from basaltpoint.policy.quota import LIGHT_MS, Customer, MeterClock
 from basaltpoint.policy.thresholds import INF
 
@@ -68,7 +67,6 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.rng = random.Random(seed)
         self.healths: dict[int, Health] = {}
-        self.probes = Probes(self.rng, self.healths)
         self.pools: dict[int, Pool] = {}
         self.customers: dict[int, Customer] = {}
         self.clock = MeterClock(settings.meter_ms, INF)
@@ -86,8 +84,7 @@
             api.ServerList: self._listed,
             api.StreamBegun: self._begun,
             api.NewSettings: self._told,
-            api.TimerFired: self._fired,
-            api.ProbeResult: self._probed,
+            api.Checked: self._checked,
             api.Recall: self._recall,
             api.Learned: self._learn,
         }
@@ -168,20 +165,15 @@
         self.born = min(self.born, now)
         if self.settings.must_subscribe and event.kind in (api.ListKind.CACHED, api.ListKind.FAILED):
             self.actions.append(api.Subscribe(True))
-        if self.probes.rules or any(server.probe for server in event.servers):
-            self.actions += self.probes.listed(now, event.servers)
 
     def _told(self, now: float, event: api.NewSettings) -> None:
         self._settle(event.settings)
         for pool in self.pools.values():
             pool.retune(event.settings)
 
-    def _fired(self, now: float, event: api.TimerFired) -> None:
-        if event.token == TOKEN:
-            self.actions += self.probes.fired(now)
-
-    def _probed(self, now: float, event: api.ProbeResult) -> None:
-        self.actions += self.probes.heard(now, event)
+    def _checked(self, now: float, event: api.Checked) -> None:
+        if health := self.healths.get(event.server):
+            health.down, health.up_ms = not event.good, now if event.good else 0.0  # it may have started anew
 
     def _arrive(self, now: float, event: api.Arrival) -> None:
         """The ordinary path: let-in share, lane cap, server choice; what fails is refused at once."""
@@ -288,6 +280,7 @@
         part = EARLY if pool.lossy else LATE if pool.strays and first else 1.0
         if request.cls.effect is not Effect.UNSAFE and attempt.number + 1 < self.settings.max_attempts:
             until = now + part * (until - now)
+        pool.out[event.request, attempt.number] = now, request.lane, until
         self.actions.append(api.Send(event.request, peer.entry.id, until))
         return True
 
@@ -331,6 +324,7 @@
         """The answer is the client's now: neither sent again, withdrawn nor ended here."""
         if request := self.requests.get(event.request):
             request.streaming = True
+            request.pool.out.pop((event.request, event.attempt), None)
 
     def _cancel(self, request: Request) -> None:
         if self.settings.may_cancel and not request.streaming:
@@ -349,6 +343,7 @@
         attempt.out = False
         attempt.may_have_run = event.status not in NEVER_RAN
         pool.count[request.lane] -= 1
+        pool.out.pop((event.request, event.attempt), None)
         request.customer.out -= 1
         if event.usage is not None and self.settings.meter_ms > 0:
             request.customer.meter(now, event.usage, self.clock)
--- a/basaltpoint/policy/pool.py
+++ b/basaltpoint/policy/pool.py
@@ -21,8 +21,9 @@
 TIGHT = 1.34  # times the tightest aim: what still counts as tight; nearer aims are one lane
 FLOORS = tuple(n / 10 for n in range(9, 1, -1))  # of lane two's arrivals as T: the highest feasible
 LOW_RISE = 1.3  # a rerun; how fast the remembered light-load latency may rise: doubles in some 2 s
-LOSS_MS = 1500.0  # ms
-LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
+SAMPLES = 120  # answers that the window holds at most; where many come, it follows the sooner for it
+LOSS_MS = 1500.0  # ms; a jam fills within one, and answers from before it are quick
+LOSS = 0.15  # of the attempts in that time; with more time-outs though answers come quickly, answers get lost
 QUICK = 0.25  # of the tightest aim; three in four answers within it are quick
 LATE = 0.65  # of the time left; repeatable work is given up then while more is lost than is late
 TAIL = 0.01  # of the recent answers may be late then: else it is load, and one more try feeds it
@@ -54,6 +55,7 @@
         self.rerun_ms = -INF
         self.lost: deque[tuple[float, int, float]] = deque()  # as latencies, of time-outs
         self.lossy = False
+        self.out: dict[tuple[int, int], tuple[float, int, float]] = {}  # attempts: sent, lane, time-out
         self.strays = False  # some answers get lost though hardly one is late
 
     def retune(self, settings: api.Settings) -> None:
@@ -107,6 +109,9 @@
         for queue, least in ((self.latencies, FEWEST), (self.arrivals, FEWEST), (self.lost, 0)):
             while queue and queue[0][0] < now - (WINDOW_MS if len(queue) > least else OLDEST_MS):
                 queue.popleft()
+        if len(self.latencies) > SAMPLES:
+            self.latencies = deque(list(self.latencies)[-SAMPLES:])
+            self.lost = deque(each for each in self.lost if each[0] >= self.latencies[0][0])
         lanes: list[list[float]] = [[], []]
         aim = min((c.aim_ms for c, lane in self.members() if lane == 0), default=INF)
         # Lost answers are told from a jam by the others, which come quickly: no load, worth another try.
@@ -115,7 +120,8 @@
         recent = sorted(elapsed for at, _, elapsed in self.latencies if at > now - LOSS_MS)
         lost = sum(1 for at, *_ in self.lost if at > now - LOSS_MS)
         heavy = lost > LOSS * (lost + len(recent))
-        before, self.lossy = self.lossy, len(recent) > 3 and heavy and recent[len(recent) * 3 // 4] < QUICK * aim
+        before, heavy = self.lossy, heavy and len(recent) > 3
+        self.lossy = heavy and recent[len(recent) * 3 // 4] < QUICK * aim
         late = sum(1 for elapsed in quick if elapsed > LATE * aim)
         enough = len(self.lost) >= max(2.0, STRAY * len(quick))
         self.strays = len(quick) > FEWEST and enough and late <= TAIL * len(quick)
@@ -123,11 +129,17 @@
             actions.append(api.Log(f"answers get lost: {len(self.lost)} beside {len(quick)}"))
         for _, lane, elapsed in [*self.latencies, *(() if self.lossy else self.lost)]:
             lanes[lane].append(elapsed)
+        # What is out for longer than most take tells of a jam before any of it ends.
+        for sent, lane, until in () if self.lossy else self.out.values():
+            if now - sent > self.fleet.mean_ms:
+                lanes[lane].append(min(now, until) - sent)
         every = sorted(lanes[0] + lanes[1])
         if every:
             self.fleet.mean_ms = max(1.0, sum(every) / len(every))
-            self.fleet.median_ms = every[len(every) // 2]
-        if len(every) < FEWEST or not lanes[0]:
+        if len(every) < FEWEST:
+            return
+        self.fleet.median_ms = every[len(every) // 2]
+        if not lanes[0]:
             return
         low = [self._light(which, lane) for which, lane in enumerate(lanes)]
         load = 1.0 - self._light(2, every) / self.fleet.mean_ms
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -139,52 +139,11 @@
 
 
 # --- Active checks ---------------------------------------------------------------------------------
-RULE = api.ProbeRule(every_ms=1000.0, rise=2, fall=3)
-
-
-def probed(ident: int) -> api.Server:
-    return replace(server(ident), probe=RULE)
-
-
-def test_probes_take_a_server_out_and_bring_it_back() -> None:
+def test_a_server_that_its_checks_put_down_gets_nothing_and_comes_back_cold() -> None:
     rig = Rig(cold_ms=5000.0)
-    asked: dict[int, list[float]] = {1: [], 2: []}
-    now = 100.0
-    due: list[float] = []
-
-    def note(actions: list[api.Action]) -> None:
-        for action in actions:
-            if isinstance(action, api.SetTimer):
-                due.append(now + action.delay_ms)
-            elif isinstance(action, api.Probe):
-                asked[action.server].append(now)
-                good = action.server == 1 or not 3000 < now < 9000
-                status = api.Status.OK if good else api.Status.ERROR
-                note(rig.gateway.handle(now, api.ProbeResult(action.server, status, 5.0)))
-
-    note(rig.listed(now, 1, probed(1), probed(2)))
-    health = rig.gateway.healths[2]
-    downs = []
-    while now < 14_000.0 and due:
-        now = due.pop(0)
-        note(rig.gateway.handle(now, api.TimerFired(1)))
-        downs.append((now, health.down))
-        if health.down:
-            assert {sends(rig.arrive(now, 1))[0].server for _ in range(3)} == {1}
-    gaps = [b - a for a, b in zip(asked[2], asked[2][1:], strict=False)]
-    assert gaps and all(abs(gap - 1000.0) < 1e-6 for gap in gaps)
-    first = next(at for at, down in downs if down)
-    last = max(at for at, down in downs if down)
-    assert 5000 < first < 6100 and 9000 < last < 11_000
-    # Back, it counts as cold for a while.
+    rig.gateway.handle(1000.0, api.Checked(2, good=False))
+    assert {sends(rig.arrive(1000.0, 1))[0].server for _ in range(6)} == {1}
+    rig.gateway.handle(9000.0, api.Checked(2, good=True))
     fleet = rig.gateway.pools[1].fleet
-    assert fleet.warmth(fleet.peers[2], last + 1000) < 1.0 == fleet.warmth(fleet.peers[1], last)
-
-
-def test_a_server_that_drains_is_not_probed() -> None:
-    rig = Rig()
-    timers = rig.listed(0.0, 1, probed(1), probed(2))
-    assert kinds(timers) == ["SetTimer"]
-    rig.listed(1.0, 1, probed(1), replace(probed(2), state=api.ServerState.DRAINING))
-    asked = rig.gateway.handle(2000.0, api.TimerFired(1))
-    assert [a.server for a in asked if isinstance(a, api.Probe)] == [1]
+    assert fleet.warmth(fleet.peers[2], 10_000.0) < 1.0 == fleet.warmth(fleet.peers[1], 10_000.0)
+    assert rig.gateway.handle(9000.0, api.Checked(77, good=False)) == []  # it has left meanwhile
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -154,8 +154,8 @@
     rig = Rig()
     for sent in [sends(rig.arrive(1.0 + n))[0] for n in range(30)]:
         rig.done(1100.0, sent, "timeout", elapsed=1000.0)
-    assert rig.gateway.pools[0].fleet.all_slow()
-    assert rig.gateway.pools[0].lost
+    assert not rig.gateway.pools[0].fleet.suspects
+    assert len(rig.gateway.pools[0].lost) == 30
 
 
 def test_a_jam_brings_lane_caps_though_every_latency_is_long() -> None:
@@ -253,8 +253,10 @@
             status = "connect_failed" if sent.server % 2 else "ok"
             for again in sends(rig.done(now + 2.0, sent, status)):
                 rig.done(now + 4.0, again, "connect_failed" if again.server % 2 else "ok", attempt=1)
-    first = [sends(rig.arrive(500.0 + n))[0].server % 2 for n in range(20)]
-    assert sum(first) == 0
+    first = [sends(rig.arrive(500.0 + n))[0] for n in range(20)]
+    assert not any(sent.server % 2 for sent in first)
+    for sent in first:
+        rig.done(600.0, sent, "ok", elapsed=90.0)
     assert any(sends(rig.arrive(2500.0 + n))[0].server % 2 for n in range(30))
 
 
