--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(ENV)/bin/ruff check .
 	$(ENV)/bin/ruff format --check .
 	$(ENV)/bin/mypy
-	$(RUN) -m pytest -q
+	$(RUN) -m pytest -q -n 4 --dist loadfile
 
 $(ENV)/made: requirements.txt requirements-standalone.txt requirements-load.txt requirements-import.txt requirements-dev.txt
 	$(PYTHON) -c 'import sys; sys.exit("Python 3.11 or newer is needed") if sys.version_info < (3, 11) else 0'
