--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -18,6 +18,7 @@
 PHASE_KEEP = 0.95  # of the evidence on when readings change kept at each change; not varied
 LAG_KEEP = 0.995  # of the evidence kept a reading: some hundred readings decide
 HISTORY_MS = 10000.0  # ms; own first sends kept of a customer, at least: the meter's lag in view
+TEACHES = 90  # percent of the rate; of a period that used more our part is not learned
 SHARE_PRIOR = 40.0  # units; weight of "evenly spread" against metered evidence of our share
 OWN_LEAST = 1.0  # units of a burst that are ours; with fewer, own sends tell nothing of the store
 PRIOR_USE = 1.0  # of the rate; what a customer is taken to use before its meter was read
@@ -231,9 +232,11 @@
             # Of a period in which nobody could come to us, as we had not started, our part says nothing.
             clock.learn(now, self, whole)
             own = self.drawn(end)[0] - self.drawn(start)[0]
-            free = 1.0 if whole < 0.9 * self.plan.rate * period / 1000.0 else 0.0
-            self.own = self.own * SHARE_KEEP + free * max(0.0, min(own, whole))
-            self.whole = self.whole * SHARE_KEEP + free * whole
+            # Nor does one that used the quota up: what is refused is not sent, and whoever refused more
+            # would learn a smaller part, and refuse more.
+            taught = usage < TEACHES
+            self.own = self.own * SHARE_KEEP + taught * max(0.0, min(own, whole))
+            self.whole = self.whole * SHARE_KEEP + taught * whole
         if self.plan.rate > 0:
             self._anchor(now, start, end, whole)
 
