--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -19,6 +19,8 @@
 
 import tomli_w
 
+LIMITERS = (2, 3, 4, 6)
+LATE_MS = (300, 800, 1400, 2000)
 SITES = Path(__file__).parent / "sites"
 
 
@@ -38,6 +40,20 @@
     return whole
 
 
+def grid(site: dict[str, Any]) -> dict[str, dict[str, Any]]:
+    """Variants of a site with so many limiters and its meter so late, by name."""
+    variants = {}
+    for limiters in LIMITERS:
+        for late in LATE_MS:
+            name = f"{site['name']}-{limiters}-{late}"
+            scale = {"balancers": limiters, "big_balancers": limiters, "twin_balancers": limiters}
+            fam = {"meter_late_ms": late}
+            variants[name] = laid_over(
+                site, {"name": name, "stock": site["name"], "scale": scale, "fam": fam}
+            )
+    return variants
+
+
 def names() -> list[str]:
     return sorted(path.stem for path in SITES.glob("*.toml") if path.stem != "base")
 
@@ -49,15 +65,20 @@
     parser.add_argument("--wire", required=True, type=Path, help="the wire's file that the adapter speaks")
     parser.add_argument("--why", required=True, help="one plain sentence for the journal")
     parser.add_argument("--quick", action="store_true", help="the four days that weigh most")
+    parser.add_argument(
+        "--grid", action="store_true", help="one site by number of limiters and lateness of its meter instead"
+    )
     given = parser.parse_args()
     if unknown := sorted(set(given.sites) - set(names())):
         parser.error(f"no site {unknown[0]!r}; there are {', '.join(names())}")
+    sites = {name: composed(name) for name in given.sites or names()}
+    if given.grid:
+        sites = {name: site for each in sites.values() for name, site in grid(each).items()}
     with tempfile.TemporaryDirectory() as folder:
         files = []
-        for name in given.sites or names():
+        for name, site in sites.items():
             files.append(Path(folder) / f"{name}.toml")
-            site = {**composed(name), "wire": str(given.wire.resolve())}
-            files[-1].write_text(tomli_w.dumps(site))
+            files[-1].write_text(tomli_w.dumps({**site, "wire": str(given.wire.resolve())}))
         quick = ["--quick"] if given.quick else []
         call = [str(given.bench.resolve()), "score", *map(str, files), *quick, "--why", given.why]
         return subprocess.run(call, check=False).returncode
