In a crowd connections end behind their answers; open ones are served through most of a drain

From the third second on clients ask once over each connection and keep it for good; none was asked over again, replies fell from 160 to 50 a second and the limiters saw 7,000 of 12,000 tries, though nothing waited unaccepted and nothing unread was closed. The clients are bound in connections, too (a third of the descriptors), and ours gave way only at a bound above theirs. Second, a drained limiter closed what was open at once and was gone after 0.6 s, 3 s before it was back.

Change (fronts/platform/clients.py): with more than a quarter of the allowed connections open, each ends behind its answer; after SIGTERM open connections are served on until what is taken may not be answered before SIGKILL (3.7 s less the longest aim less 0.3 s).

Ruled out: unread requests on connections that are closed (none in 2,800), a backlog (accepting never rests).

--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -33,6 +33,10 @@
 DRAIN_MOST_S = 0.6
 FIRST_S = 0.3  # what a new connection gets for its first request, also during a drain
 FLUSH_S = 0.2
+CROWDED = 0.25  # of the connections allowed; with more open, each ends behind its answer
+KILL_S = 0.7  # after the longest deadline, counted as KILL_MOST_S where it is longer, SIGKILL may come
+KILL_MOST_S = 3.0
+SPARE_S = 0.3  # what the last answer has, beside its class's time, to be out before that
 
 CUSTOMER = re.compile(rb"[0-9A-Fa-f]{16}")
 REQ_ID = re.compile(rb"[!-~]{1,128}")
@@ -87,6 +91,16 @@
             self._connection.flush()
 
 
+def stays_s(settings: Settings) -> float:
+    """For how long after SIGTERM a request on an open connection can still be answered before SIGKILL."""
+    deadlines = [cls.deadline_ms / 1000 for cls in settings.classes]
+    answered = max(
+        (cls.aim_ms if cls.late_worth <= 0 and not cls.stream else cls.deadline_ms) / 1000
+        for cls in settings.classes
+    )
+    return min(KILL_MOST_S, max(deadlines)) + KILL_S - answered - SPARE_S
+
+
 class Checker:
     """The form of a request, by the settings; a request that has another one counts nowhere."""
 
@@ -367,7 +381,7 @@
             call = self._calls.popleft()
             self._clients.release(len(call.body))
             code, headers, body = reply
-            last = not self._calls and (not call.keep or self._clients.draining)
+            last = not self._calls and not (call.keep and self._clients.keeps)
             parts += [
                 f"HTTP/1.1 {code} {REASONS[code]}\r\nContent-Length: {len(body)}\r\n".encode(),
                 headers,
@@ -404,7 +418,9 @@
     ) -> None:
         self.limiter = limiter
         self.checker = Checker(settings)
-        self.draining = False
+        self.draining = False  # a front shall bring nobody new
+        self.closing = False  # each connection ends behind its answer
+        self._stays_s = stays_s(settings)
         self.idle: dict[_Client, None] = {}  # between requests, the longest idle first
         self.coming: dict[_Client, None] = {}  # with a request coming in, the longest so first
         self._open: set[_Client] = set()
@@ -421,6 +437,15 @@
         host, port, *_ = self._listener.getsockname()
         return host, port
 
+    @property
+    def keeps(self) -> bool:
+        """Whether a connection stays open behind its answer.
+
+        Clients are bound in connections, too: a crowd that asks once over each and keeps it finds no room for
+        its next requests. It costs those that would have asked again a connection each.
+        """
+        return not self.closing and len(self._open) <= self._most * CROWDED
+
     @property
     def ready(self) -> bool:
         return self.limiter.ready and not self.draining
@@ -526,13 +551,15 @@
         """Finish what was taken: listen while connections still come, then until all is answered."""
         start = monotonic()
         self.draining = True
-        self._close_idle(start)
         while (now := monotonic()) < start + DRAIN_MOST_S:
             if now >= max(start + DRAIN_S, self._last_accept + QUIET_S):
                 break
             await asyncio.sleep(0.01)
         self._accept()  # what came since the last turn is taken, too
         self.stop_listening()
+        while self._open and monotonic() < start + self._stays_s:
+            await asyncio.sleep(0.01)
+        self.closing = True
         while self.limiter.open or any(client.due(monotonic() - FIRST_S) for client in self._open):
             self._close_idle(monotonic())
             await asyncio.sleep(0.01)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import contextlib
+from dataclasses import replace
 from typing import Any
 
 import pytest
-from sockets import Request, Rig, backend, host, limiter, message, run, until
+from sockets import Request, Rig, backend, config, host, limiter, message, run, until
 
 from basaltpoint import interface as api
 from basaltpoint.fronts.platform import clients
@@ -541,3 +542,68 @@
             await until(lambda: rig.limiter.table.next_ms is None)
 
     run(test())
+
+
+def test_in_a_crowd_connections_end_behind_their_answers() -> None:
+    """Incident r86fa4a: 5,000 connections asked once each and stayed, and used their clients' bound up."""
+
+    async def test() -> None:
+        async with backend(echo) as server, limiter(host("a", server.address)) as rig:
+            rig.clients._most = 8
+            first, second = await rig.connect(), await rig.connect()
+            for client in (first, second):
+                answer = await client.ask(message())
+                assert "connection" not in answer.headers
+            third = await rig.connect()
+            answer = await third.ask(message(ident="third"))
+            assert (answer.body, answer.headers["connection"]) == (b"third", "close")
+            await third.closed()
+            await until(lambda: len(rig.clients._open) == 2)
+            assert "connection" not in (await first.ask(message(ident="again"))).headers
+
+    run(test())
+
+
+def test_an_open_connection_is_served_through_most_of_a_drain() -> None:
+    """Whoever kept its connection stays; nobody else has to take its customers in meanwhile."""
+
+    async def test() -> None:
+        async with backend(echo) as server, limiter(host("a", server.address)) as rig:
+            rig.clients._stays_s = 1.0
+            client = await rig.connect()
+            assert (await client.ask(message(ident="one"))).body == b"one"
+            drain = asyncio.create_task(rig.clients.drain())
+            await until(lambda: rig.clients._listener.fileno() < 0)
+            answer = await client.ask(message(ident="two"))
+            assert answer.body == b"two" and "connection" not in answer.headers
+            assert (await client.ask(b"GET /up HTTP/1.1\r\n\r\n")).code == 503
+            await client.closed()
+            await drain
+            assert not rig.clients._open
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("aims", "deadlines", "late", "stays"),
+    [
+        ((1200.0, 1500.0), (5000.0, 5000.0), 0.0, 3.7 - 1.5 - 0.3),  # SIGKILL after 3.7 s at the earliest
+        ((300.0, 400.0), (1000.0, 800.0), 0.0, 1.7 - 0.4 - 0.3),
+        ((300.0, 400.0), (1000.0, 800.0), 0.5, 1.7 - 1.0 - 0.3),  # a late answer is worth something
+        (
+            (3000.0, 9000.0),
+            (10000.0, 9000.0),
+            0.0,
+            3.7 - 9.0 - 0.3,
+        ),  # none can be sure of its answer
+    ],
+)
+def test_a_drain_lasts_as_long_as_answers_are_sure_before_sigkill(
+    aims: tuple[float, ...], deadlines: tuple[float, ...], late: float, stays: float
+) -> None:
+    made = config().settings
+    classes = tuple(
+        replace(cls, aim_ms=aim, deadline_ms=deadline, late_worth=late)
+        for cls, aim, deadline in zip(made.classes, aims, deadlines, strict=False)
+    )
+    assert clients.stays_s(replace(made, classes=classes)) == pytest.approx(stays)
