--- a/basaltpoint/membership/patience.py
+++ b/basaltpoint/membership/patience.py
@@ -1,4 +1,4 @@
-"""When a limiter asks discovery: at its start at once, after a break within about a second, whatever the fleet."""
+"""When a limiter asks discovery: at a start at once, after a break within a second, whatever the fleet."""
 
 from __future__ import annotations
 
