Operators call at a second address; figures are counted once, in the request table

Design: telemetry/ holds counts and gauges without I/O; the request table counts each final answer where it decides it, the connection layer each attempt whose last byte was written; fronts/control is a shell of one line a connection. Not chosen: counting in each front as answers are written (two definitions that drift), and a thread for the control address (locks round every count; the loop answers in time as it is).

The module tells which servers it avoids (Fleet.avoided), by the same rule that its choice uses.

Tests: random runs of the table against a ledger, a limiter's figures against its peers to the unit, 400 half calls.

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -21,6 +21,7 @@
 
 from basaltpoint import interface as api
 from basaltpoint.interface import Status
+from basaltpoint.telemetry.figures import Counts, Figures
 
 MOOTS = 100  # sends that can't be made, told at a time
 COMPACT = 256  # entries of the timer heap; from here on it is rebuilt once most of them are over
@@ -111,6 +112,7 @@
     """One request; gone once it is answered and nothing is out."""
 
     name: bytes
+    counts: Counts
     deadline_ms: float  # the module's
     attempts: int = 0  # that went out
     out: int | None = None  # the attempt that is out
@@ -123,11 +125,23 @@
     uploading: bool = False  # its body is on its way still: no deadline counts
 
 
+def _counted(counts: Counts, reply: Reply) -> Reply:
+    if reply.ending is Ending.SERVED:
+        counts.answered += 1
+    elif reply.ending in (Ending.REFUSED, Ending.BUSY):
+        counts.deferred += 1
+    else:
+        counts.errored += 1
+    return reply
+
+
 class Table:
     """All requests in hand."""
 
-    def __init__(self, module: Module, max_attempts: int, max_open: int) -> None:
+    def __init__(self, module: Module, max_attempts: int, max_open: int, figures: Figures) -> None:
+        """`figures`: where each final answer is counted, by the request's class."""
         self.module = module
+        self.figures = figures
         self.max_attempts = max_attempts
         self.max_open = max_open
         self.entries: dict[int, Entry] = {}
@@ -145,12 +159,14 @@
         self._count += 1
         ident = self._count
         if self.open >= self.max_open:
-            return ident, [Reply(ident, Ending.BUSY)]
+            return ident, [_counted(self.figures.of(ticket.cls), Reply(ident, Ending.BUSY))]
         if ticket.name and ticket.name in self.names:
             # Sent on, a server would see it as a second copy of the one that is open.
-            return ident, [Reply(ident, Ending.TWIN)]
+            return ident, [_counted(self.figures.of(ticket.cls), Reply(ident, Ending.TWIN))]
         deadline = now + max(ticket.wait_ms - ticket.early_ms, ticket.wait_ms / 2)
-        self.entries[ident] = Entry(ticket.name, deadline, wait_ms=ticket.wait_ms)
+        self.entries[ident] = Entry(
+            ticket.name, self.figures.of(ticket.cls), deadline, wait_ms=ticket.wait_ms
+        )
         if ticket.name:
             self.names.add(ticket.name)
         self.open += 1
@@ -354,7 +370,7 @@
 
     def _reply(self, ident: int, entry: Entry, reply: Reply) -> None:
         self._close(ident, entry)
-        self._effects.append(reply)
+        self._effects.append(_counted(entry.counts, reply))
 
     def _close(self, ident: int, entry: Entry) -> None:
         entry.open = False
--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -8,10 +8,12 @@
 import os
 import random
 import signal
+from collections.abc import Iterable
 
 import uvloop
 
 from basaltpoint.config.address import ConfigError
+from basaltpoint.fronts.control.console import Console
 from basaltpoint.fronts.platform import config as configuration
 from basaltpoint.fronts.platform.clients import Clients
 from basaltpoint.fronts.platform.limiter import MARGIN, SERVER_PART, Limiter
@@ -42,6 +44,24 @@
     watch.move(address)
 
 
+def _console(config: configuration.Config, limiter: Limiter, clients: Clients) -> Console | None:
+    """Where operators call, on where the configuration names an address for it."""
+    if config.control is None:
+        return None
+
+    def readyz() -> Iterable[str]:
+        yield "ok" if clients.ready else "fail draining" if clients.draining else "fail no server is known"
+
+    def telemetry() -> Iterable[str]:
+        yield "ok"
+        yield from limiter.figures.lines(limiter.gauges())
+        yield "eof"
+
+    console = Console(config.control, {"readyz": readyz, "telemetry": telemetry})
+    console.listen()
+    return console
+
+
 async def serve(config: configuration.Config) -> None:
     """Serve until told to end, then finish what was taken."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
@@ -56,12 +76,15 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, watch)
     tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
     clients.listen()
+    console = _console(config, limiter, clients)
     log.info("%s listens at %s:%d", config.name, *clients.address)
     await stop.wait()
     log.info("draining")
     await clients.drain()
     for task in tasks:
         task.cancel()
+    if console:
+        console.close()
     limiter.close()
 
 
--- /dev/null
+++ b/basaltpoint/fronts/control/__init__.py
@@ -0,0 +1,1 @@
+"""Where operators call: one line in, the answer out."""
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -22,6 +22,7 @@
 from basaltpoint.membership.checks import Checks
 from basaltpoint.policy import Gateway
 from basaltpoint.routing.accounts import Stranger, client_address, trusts
+from basaltpoint.telemetry.figures import Figures
 from basaltpoint.upstream.servers import TIMER_S, Answer, Servers
 from basaltpoint.upstream.streams import StreamAnswers, StreamAttempt
 
@@ -45,7 +46,8 @@
         self.buffer = file.limits.buffer_kb * 1024
         self.closing = False
         self.gateway = Gateway(setup.settings, seed)
-        super().__init__(Table(self.gateway, setup.settings.max_attempts, file.limits.requests))
+        self.figures = Figures([cls.name for cls in setup.settings.classes])
+        super().__init__(Table(self.gateway, setup.settings.max_attempts, file.limits.requests, self.figures))
         self.connections: dict[ClientConnection, None] = {}
         make = partial(StreamAnswers, head_limit=self.head_limit, buffer=self.buffer)
         most = int((file.limits.sockets - MARGIN) * SERVER_PART)
@@ -67,6 +69,7 @@
     # --- Configuration -----------------------------------------------------------------------------
     def apply(self, setup: Setup) -> None:
         """Go over to another configuration at once; requests that are out keep what they were taken with."""
+        self.figures.retune([cls.name for cls in setup.settings.classes])
         self.do(self.table.tell(self.now(), api.NewSettings(setup.settings)))
         self._apply(setup, first=False)
 
--- a/basaltpoint/fronts/platform/config.py
+++ b/basaltpoint/fronts/platform/config.py
@@ -29,6 +29,7 @@
     name: str
     listen: Address
     discovery: Address
+    control: Address | None  # where operators call
     seed: int
     sockets: int
     body_bytes: int  # of clients' bodies held at a time
@@ -59,6 +60,10 @@
     return max(LEAST_BODIES, int((memory_mb - PROGRAM_MB) * (1 << 20) / BODY_COPIES))
 
 
+def _optional(text: object) -> Address | None:
+    return parse_address(text) if text else None
+
+
 def _seed(text: object) -> int:
     try:
         return int(str(text), 16)
@@ -101,6 +106,7 @@
         name=environ.get("GW_NAME") or str(raw.get("name", "")),
         listen=parse_address(environ.get("GW_LISTEN") or raw.get("listen")),
         discovery=parse_address(environ.get("GW_DISCOVERY") or raw.get("discovery")),
+        control=_optional(environ.get("GW_CONTROL") or raw.get("control")),
         seed=_seed(raw.get("seed", "0")),
         sockets=int(_number(limits, "sockets", SOCKETS)),
         body_bytes=_body_bytes(_number(limits, "memory_mb", MEMORY_MB)),
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -19,6 +19,7 @@
 from basaltpoint.interface import ServerState
 from basaltpoint.membership.discovery import Host, HostList, parse_list
 from basaltpoint.policy import Gateway
+from basaltpoint.telemetry.figures import Figures, Gauges
 from basaltpoint.upstream.servers import Answer, Attempt, Servers
 from basaltpoint.upstream.whole import WholeAnswers
 
@@ -81,7 +82,8 @@
     def __init__(self, config: Config) -> None:
         self._settings = config.settings
         self.gateway = Gateway(config.settings, config.seed)
-        super().__init__(Table(self.gateway, config.settings.max_attempts, config.max_open))
+        self.figures = Figures([cls.name for cls in config.settings.classes])
+        super().__init__(Table(self.gateway, config.settings.max_attempts, config.max_open, self.figures))
         # One offset for good: converted afresh each time, a start would seem to move and be a restart.
         self._wall_ms = EPOCH_MS - time.time() * 1000
         most = int((config.sockets - MARGIN) * SERVER_PART)
@@ -89,7 +91,7 @@
         self._numbers: dict[str, int] = {}  # of the servers that are not gone
         self._next_number = itertools.count()  # never used again: outcomes may come after the end
         self._zones = {zone: number for number, zone in enumerate(config.zones)}
-        self._calls: dict[int, Call] = {}  # of the requests that wait for their reply
+        self._calls: dict[int, tuple[Call, int]] = {}  # of the requests that wait for their reply; the class
         self._attempts: dict[int, Attempt] = {}  # the one that is out, by request
         self.known_seq = 0
         self._known(config)
@@ -113,6 +115,12 @@
         """Requests that wait for their reply."""
         return self.table.open
 
+    def gauges(self) -> Gauges:
+        """What stands now; a server that both lists and the module know counts once."""
+        avoided = self.gateway.avoided(self.now())
+        listed = set(self._numbers.values())
+        return Gauges(self.table.open, len(listed), len(avoided & listed))
+
     def take(self, call: Call, terms: Terms) -> int:
         """Take a request on; from here it gets one answer, before its client gives up."""
         wait_s = min(terms.wait_s, self._settings.classes[terms.cls].deadline_ms / 1000)
@@ -127,7 +135,7 @@
             name=terms.name,
         )
         ident, effects = self.table.take(self.now(), ticket)
-        self._calls[ident] = call
+        self._calls[ident] = call, terms.cls
         self.do(effects)
         return ident
 
@@ -170,8 +178,8 @@
             case Dispatch():
                 self._dispatch(effect)
             case Reply():
-                if call := self._calls.pop(effect.request, None):
-                    self._answer(call, effect)
+                if held := self._calls.pop(effect.request, None):
+                    self._answer(held[0], effect)
             case Withdraw():
                 if attempt := self._attempts.get(effect.request):
                     attempt.cancel()
@@ -187,15 +195,19 @@
                 raise AssertionError("this front streams nothing")
 
     def _dispatch(self, effect: Dispatch) -> None:
-        ident, call = effect.request, self._calls[effect.request]  # the table sends for no other
+        ident, (call, cls) = effect.request, self._calls[effect.request]  # the table sends for no other
         left = f"Req-Deadline: {(effect.until_ms - self.now()) / 1000:.3f}\r\n\r\n"
         self._attempts[ident] = self._servers.send(
             effect.server,
             call.forward + left.encode() + call.body,
             self.loop_time(effect.until_ms),
             partial(self._ended, ident, effect.attempt),
+            partial(self._sent, cls),
         )
 
+    def _sent(self, cls: int) -> None:
+        self.figures.of(cls).sends += 1
+
     def _ended(self, ident: int, number: int, reply: Answer) -> None:
         self._attempts.pop(ident, None)
         load = read_load(self._settings.report_fields, reply.load)
--- a/basaltpoint/policy/fleet.py
+++ b/basaltpoint/policy/fleet.py
@@ -173,19 +173,27 @@
         load = self.usual + fresh * (peer.load - self.usual)  # no report is not idleness
         return (1.0 + peer.waiting + load) / size
 
+    def _shunned(self, peer: Peer, now: float, jam: bool) -> bool:
+        """Whether it is left alone for now."""
+        # A zone cut off or restarting at once: with many gateways nobody can try each of its servers.
+        missed, last = self.missed.get(peer.entry.zone, (0, 0.0))
+        cut, health = missed >= ZONE_MISSES and now < last + RETEST_MS, peer.health
+        return cut or (health.suspect and not jam and now < health.retest_ms) or health.avoid_ms > now
+
+    def avoided(self, now: float) -> set[int]:
+        """The listed servers that nothing ordinary is sent to now: draining, down, suspect, full, cut off."""
+        jam, listed = self.all_slow(), self.peers.values()
+        out = (p for p in listed if p.entry.state is ServerState.DRAINING or p.health.down)
+        shunned = (p for p in self.ready if self._shunned(p, now, jam) or (p.health.suspect and not jam))
+        return {peer.entry.id for peer in (*out, *shunned)}
+
     def choose(self, now: float, allowed: Callable[[Peer], bool], avoid: set[int]) -> Peer | None:
         """The cheapest of a few random servers, against herding; suspects only where no other is left."""
 
         jam = self.all_slow()
 
         def rank(peer: Peer) -> tuple[bool, float]:
-            # A zone cut off or restarting at once: with many gateways nobody can try each of its servers.
-            missed, last = self.missed.get(peer.entry.zone, (0, 0.0))
-            cut = missed >= ZONE_MISSES and now < last + RETEST_MS
-            health = peer.health
-            shunned = (health.suspect and not jam and now < health.retest_ms) or health.avoid_ms > now
-            shunned = shunned or peer.entry.id in avoid
-            return shunned or cut, self.cost(peer, now)
+            return peer.entry.id in avoid or self._shunned(peer, now, jam), self.cost(peer, now)
 
         for pool in (self.rng.sample(self.near, min(LOOKS, len(self.near))), self.near, self.ready):
             fit = [(rank(peer), peer) for peer in pool if self.usable(peer, now) and allowed(peer)]
--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -132,6 +132,10 @@
         full, ceiling = (plan.burst - left) / plan.rate * 1000.0, customer.ceiling.refill(now)
         return api.Standing(plan.rate, plan.burst, max(0.0, left), full, max(0.0, ceiling))
 
+    def avoided(self, now: float) -> set[int]:
+        """The servers of all pools that nothing ordinary is sent to now."""
+        return {ident for pool in self.pools.values() for ident in pool.fleet.avoided(now)}
+
     def asked_since(self, then: float) -> Iterable[int]:
         """The customers that have asked since, the latest first."""
         return takewhile(lambda ident: self.customers[ident].asked_at >= then, reversed(self.customers))
--- /dev/null
+++ b/basaltpoint/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counts and gauges, each defined once; no I/O."""
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -45,14 +45,22 @@
 class Attempt:
     """One message to one server; `on_end` hears of its end, once."""
 
-    __slots__ = ("_on_end", "_timer", "connection", "ended", "message", "until")
+    __slots__ = ("_on_end", "_timer", "connection", "ended", "message", "on_written", "until")
 
-    def __init__(self, message: bytes, until: float, on_end: Callable[[Answer], None]) -> None:
+    def __init__(
+        self,
+        message: bytes,
+        until: float,
+        on_end: Callable[[Answer], None],
+        on_written: Callable[[], None] | None = None,
+    ) -> None:
+        """`on_written` hears when the message's last byte has been handed to the system."""
         self.message = message
         self.until = until
         self.connection: Connection | None = None
         self.ended = False
         self._on_end = on_end
+        self.on_written = on_written
         self._timer = asyncio.get_running_loop().call_at(until + TIMER_S, self._time_out)
 
     def end(self, reply: Answer) -> None:
@@ -166,9 +174,16 @@
     def any_ready(self) -> bool:
         return any(server.ready for server in self._servers.values())
 
-    def send(self, number: int, message: bytes, until: float, on_end: Callable[[Answer], None]) -> Attempt:
+    def send(
+        self,
+        number: int,
+        message: bytes,
+        until: float,
+        on_end: Callable[[Answer], None],
+        on_written: Callable[[], None] | None = None,
+    ) -> Attempt:
         """Begin an attempt with one message."""
-        return self.begin(number, Attempt(message, until, on_end))
+        return self.begin(number, Attempt(message, until, on_end, on_written))
 
     def begin(self, number: int, attempt: A) -> A:
         """Begin an attempt over the latest used free connection, or over a new one."""
--- a/basaltpoint/upstream/whole.py
+++ b/basaltpoint/upstream/whole.py
@@ -57,10 +57,18 @@
         self._headed = self._complete = self._keep = False
         self._transport.write(attempt.message)
         # A write that fails closes the transport at once; one that is cut short leaves a rest in it.
-        self.written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+        self.written = False
+        if not self._transport.is_closing() and not self._transport.get_write_buffer_size():
+            self._wrote()
 
     def resume_writing(self) -> None:
-        self.written = True
+        self._wrote()
+
+    def _wrote(self) -> None:
+        if not self.written:
+            self.written = True
+            if self._attempt and self._attempt.on_written:
+                self._attempt.on_written()
 
     def data_received(self, data: bytes) -> None:
         if self._attempt is None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -208,6 +208,7 @@
         "name": "n0",
         "listen": ("127.0.0.1", 0),
         "discovery": discovery,
+        "control": None,
         "seed": 1,
         "sockets": 1024,
         "body_bytes": 1 << 24,
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -15,7 +15,7 @@
     ("__main__",),
     ("cli",),
     ("daemon",),
-    ("fronts.platform", "fronts.http"),
+    ("fronts.platform", "fronts.http", "fronts.control"),
     ("fronts.shell",),
     ("sim",),
     ("importers", "load", "verify", "standins"),
@@ -27,6 +27,7 @@
     ("routing",),
     ("policy",),
     ("interface",),
+    ("telemetry",),
 )
 RANK = {name: rank for rank, row in enumerate(LAYERS) for name in row}
 OWN = ("uvloop", "httptools", "cython_runtime")  # the last is part of the first
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,257 @@
+"""Where operators call: true figures at once, whatever other callers do."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import re
+from collections import Counter
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from sockets import Request, backend, host, limiter, message, run, until, unused_address
+
+from basaltpoint import interface as api
+from basaltpoint.core.table import Dispatch, Ending, Reply, Table, Ticket
+from basaltpoint.fronts.control.console import CALLERS, LINE_LIMIT, Console
+from basaltpoint.fronts.platform.config import load
+from basaltpoint.interface import Status
+from basaltpoint.telemetry.figures import Figures, Gauges
+
+FIGURE = re.compile(r'gw_(\w+?)(?:\{group="(.*)"\})? (\d+)')
+
+
+def read(lines: list[str]) -> dict[tuple[str, str], int]:
+    found = {}
+    for line in lines:
+        match = FIGURE.fullmatch(line)
+        assert match, line
+        found[match[1], match[2] or ""] = int(match[3])
+    return found
+
+
+async def call(address: tuple[str, int], line: bytes) -> list[str]:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(line)
+    answer = (await reader.read()).decode().splitlines()
+    writer.close()
+    return answer
+
+
+def test_figures_as_they_are_written() -> None:
+    figures = Figures(["read", 'a"b'])
+    figures.of(1).answered += 3
+    lines = list(figures.lines(Gauges(14, 9, 2)))
+    assert 'gw_answered{group="a\\"b"} 3' in lines and lines[-3:] == [
+        "gw_current 14",
+        "gw_cluster_size 9",
+        "gw_cluster_unhealthy 2",
+    ]
+
+
+def test_a_class_that_comes_back_counts_on() -> None:
+    figures = Figures(["read", "fix"])
+    kept = figures.of(1)
+    figures.retune(["fix"])
+    assert figures.of(0) is kept
+    figures.retune(["read", "fix"])
+    kept.errored += 1
+    assert figures.of(1).errored == 1
+
+
+class Chance:
+    """A module that answers by chance: sends, refuses, fails, repeats, or says nothing."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Arrival) or (isinstance(event, api.Outcome) and not event.closed):
+            ident = event.request
+            return self.rng.choice(
+                [[api.Send(ident, 1, now + 500)], [api.Refuse(ident)], [api.Fail(ident)], []]
+            )
+        return []
+
+
+@given(st.integers(0, 2**32))
+@settings(max_examples=60, deadline=None)
+def test_figures_equal_a_ledger_of_what_clients_were_told(seed: int) -> None:
+    rng = random.Random(seed)
+    names = ["read", "fix"]
+    table = Table(Chance(rng), 3, 5, Figures(names))
+    ledger: Counter[tuple[str, str]] = Counter()
+    classes: dict[int, str] = {}
+    out: dict[int, int] = {}
+    now = 0.0
+
+    def see(effects: list[object]) -> None:
+        for effect in effects:
+            if isinstance(effect, Dispatch):
+                out[effect.request] = effect.attempt
+            elif isinstance(effect, Reply):
+                served, refused = (
+                    effect.ending is Ending.SERVED,
+                    effect.ending in (Ending.REFUSED, Ending.BUSY),
+                )
+                kind = "answered" if served else "deferred" if refused else "errored"
+                ledger[kind, classes[effect.request]] += 1
+
+    for _ in range(120):
+        now += rng.random() * 100
+        roll = rng.random()
+        if roll < 0.4:
+            cls = rng.randrange(2)
+            # Its number is told with its effects: one more than the last.
+            classes[len(classes) + 1] = names[cls]
+            name = b"%d" % rng.randrange(8)
+            _, effects = table.take(now, Ticket(cls, 0, 1, 1.0, 1, 400.0, name=name))
+            see(list(effects))
+        elif roll < 0.8 and out:
+            ident = rng.choice(sorted(out))
+            status = rng.choice([Status.OK, Status.ERROR, Status.TIMEOUT])
+            see(list(table.ended(now, ident, out.pop(ident), status)))
+        elif roll < 0.9 and classes:
+            see(list(table.abandon(now, rng.randrange(len(classes)) + 1)))
+        else:
+            see(list(table.tick(now)))
+    counted = read(list(table.figures.lines(Gauges(table.open, 0, 0))))
+    told = {key: value for key, value in counted.items() if key[0] in ("answered", "deferred", "errored")}
+    assert {key: value for key, value in told.items() if value} == dict(ledger)
+
+
+def test_a_limiters_figures_equal_what_its_peers_saw() -> None:
+    """Served, refused by the server's errors, and a server that drains: to the unit."""
+
+    async def serve(request: Request) -> None:
+        if "bad" in request.headers["req-id"]:
+            request.reply("500 Internal Server Error")
+        else:
+            request.reply(body=b"x")
+
+    async def test() -> None:
+        async with backend(serve) as one, backend(serve) as two:
+            hosts = host("a", one.address), host("b", two.address), host("c", two.address, "leaving")
+            async with limiter(*hosts) as rig:
+                client = await rig.connect()
+                seen: Counter[tuple[str, str]] = Counter()
+                for n in range(30):
+                    cls, ident = ("read", "fix")[n % 2], f"{'bad' if n % 5 == 0 else 'good'}-{n}"
+                    code = (await client.ask(message(cls, ident))).code
+                    kind = "answered" if code == 200 else "deferred" if code in (429, 503) else "errored"
+                    seen[kind, cls] += 1
+                for server in (one, two):
+                    for request in server.requests:
+                        seen["sends", request.headers["req-id"] and request.line.split("/")[1]] += 1
+                lines = list(rig.limiter.figures.lines(rig.limiter.gauges()))
+                found = read(lines)
+                gauges = {
+                    name: found.pop((name, "")) for name in ("current", "cluster_size", "cluster_unhealthy")
+                }
+                assert {key: value for key, value in found.items() if value} == dict(seen)
+                assert (gauges["current"], gauges["cluster_size"]) == (0, 3)
+                assert gauges["cluster_unhealthy"] >= 1
+                client.send(message("fix", "held"))
+                await until(lambda: rig.limiter.gauges().current == 0)
+
+    run(test())
+
+
+def console(calls: int = 3) -> Console:
+    def telemetry() -> list[str]:
+        return ["ok", *(f"gw_current {n}" for n in range(calls)), "eof"]
+
+    def broken() -> list[str]:
+        raise ValueError("on purpose")
+
+    made = Console(("127.0.0.1", 0), {"readyz": lambda: ["ok"], "telemetry": telemetry, "broken": broken})
+    made.listen()
+    return made
+
+
+@pytest.mark.parametrize(
+    ("line", "begins"),
+    [
+        (b"readyz\n", "ok"),
+        (b"readyz\r\n", "ok"),
+        (b"readyz\nreadyz\n", "ok"),
+        (b"reboot\n", "fail no such call 'reboot'; there are: readyz, telemetry"),
+        (b"\n", "fail"),
+        (b"\xff\xfe\n", "fail"),
+        (b"x" * 100_000, "fail"),
+        (b"broken\n", "fail the call broke down"),
+    ],
+)
+def test_a_call_is_answered_in_one_line(line: bytes, begins: str) -> None:
+    async def test() -> None:
+        made = console()
+        lines = await call(made.address, line)
+        assert len(lines) == 1 and lines[0].startswith(begins)
+        made.close()
+
+    run(test())
+
+
+def test_a_call_in_pieces_and_one_that_ends_without_a_line_end() -> None:
+    async def test() -> None:
+        made = console()
+        reader, writer = await asyncio.open_connection(*made.address)
+        for piece in (b"tele", b"metry", b"\n"):
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        assert (await reader.read()).decode().splitlines()[-1] == "eof"
+        reader, writer = await asyncio.open_connection(*made.address)
+        writer.write(b"readyz")
+        writer.write_eof()
+        assert (await reader.read()) == b"ok\n"
+        made.close()
+
+    run(test())
+
+
+def test_four_hundred_half_calls_hold_a_bounded_number_of_descriptors() -> None:
+    async def test() -> None:
+        made = console()
+        before = len(os.listdir("/proc/self/fd"))
+        crowd = []
+        for n in range(400):
+            reader, writer = await asyncio.open_connection(*made.address)
+            writer.write(b"" if n % 2 else b"read" if n % 4 else b"x" * LINE_LIMIT)
+            crowd.append((reader, writer))
+            if n % 40 == 0:
+                assert (await call(made.address, b"readyz\n")) == ["ok"]
+        assert (await call(made.address, b"telemetry\n"))[-1] == "eof"
+        # All but the latest were cut; each of them holds the descriptor of its own end here.
+        for reader, _ in crowd[: 400 - CALLERS]:
+            assert await reader.read() == b""
+        assert len(os.listdir("/proc/self/fd")) - before <= 400 + 2 * CALLERS
+        made.close()
+        for _, writer in crowd:
+            writer.close()
+
+    run(test())
+
+
+def test_the_programs_own_address(tmp_path: Path) -> None:
+    """The file's `control`, and `GW_CONTROL` above it; without either nobody listens."""
+    file = tmp_path / "config.json"
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1"}
+    from sockets import SETTINGS
+
+    for told, variable, expected in [
+        (None, None, None),
+        ("127.0.0.1:7", None, ("127.0.0.1", 7)),
+        ("127.0.0.1:7", unused_address(), None),
+    ]:
+        file.write_text(json.dumps({**raw, "settings": SETTINGS, **({"control": told} if told else {})}))
+        environ = {"GW_CONFIG": str(file), **({"GW_CONTROL": variable} if variable else {})}
+        control = load(environ).control
+        if variable:
+            assert control == ("127.0.0.1", int(variable.split(":")[1]))
+        else:
+            assert control == expected
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -13,6 +13,7 @@
 from basaltpoint import interface as api
 from basaltpoint.core.table import Begin, Dispatch, Effect, Ending, Fault, Reply, Table, Ticket, Withdraw
 from basaltpoint.interface import Status
+from basaltpoint.telemetry.figures import Figures
 
 
 class Scripted:
@@ -45,7 +46,7 @@
 
 
 def test_a_served_request_gets_the_first_good_answer() -> None:
-    table = Table(Scripted(Arrival=send), 3, 10)
+    table = Table(Scripted(Arrival=send), 3, 10, Figures(["c"]))
     ident, effects = table.take(100.0, ticket())
     assert effects == [Dispatch(ident, 0, 7, 1090.0)]
     assert replies(table.ended(150.0, ident, 0, Status.OK, payload="x")) == [(ident, Ending.SERVED)]
@@ -54,7 +55,7 @@
 
 def test_a_silent_module_is_answered_for_at_the_deadline() -> None:
     module = Scripted(Arrival=send, Abandoned=lambda e: [api.Cancel(e.request, 0)])
-    table = Table(module, 3, 10)
+    table = Table(module, 3, 10, Figures(["c"]))
     ident, _ = table.take(0.0, ticket())
     assert table.next_ms == 1000.0
     assert replies(table.tick(999.0)) == []
@@ -73,7 +74,7 @@
         raise RuntimeError("a fault")
 
     module = Scripted(Arrival=fail)
-    table = Table(module, 3, 10)
+    table = Table(module, 3, 10, Figures(["c"]))
     ident, effects = table.take(0.0, ticket())
     assert replies(effects) == [(ident, Ending.FAULT)]
     assert any(isinstance(e, Fault) and "a fault" in e.text for e in effects)
@@ -87,7 +88,7 @@
         return [*send(event), *send(event), api.Refuse(event.request, 50.0), *send(event)]
 
     module = Scripted(Arrival=twice)
-    table = Table(module, 9, 10)
+    table = Table(module, 9, 10, Figures(["c"]))
     ident, effects = table.take(0.0, ticket())
     assert [type(e) for e in effects] == [Dispatch, Reply]
     moot = [e for e in module.heard if isinstance(e, api.Outcome)]
@@ -99,7 +100,7 @@
 
 
 def test_a_module_that_insists_does_not_hang_the_others() -> None:
-    table = Table(Scripted(Arrival=send, Outcome=send), 1, 10)
+    table = Table(Scripted(Arrival=send, Outcome=send), 1, 10, Figures(["c"]))
     ident, _ = table.take(0.0, ticket())
     effects = table.ended(1.0, ident, 0, Status.RESET)
     assert [type(e) for e in effects] == [Fault]
@@ -108,7 +109,7 @@
 
 def test_attempts_are_bounded() -> None:
     module = Scripted(Arrival=send, Outcome=again)
-    table = Table(module, 2, 10)
+    table = Table(module, 2, 10, Figures(["c"]))
     ident, _ = table.take(0.0, ticket())
     assert isinstance(table.ended(1.0, ident, 0, Status.RESET)[0], Dispatch)
     assert table.ended(2.0, ident, 1, Status.RESET) == []
@@ -117,7 +118,7 @@
 
 def test_an_end_that_was_told_already_counts_once() -> None:
     module = Scripted(Arrival=send)
-    table = Table(module, 3, 10)
+    table = Table(module, 3, 10, Figures(["c"]))
     ident, _ = table.take(0.0, ticket())
     table.ended(1.0, ident, 0, Status.TIMEOUT)
     assert table.ended(2.0, ident, 0, Status.OK) == []
@@ -125,7 +126,7 @@
 
 
 def test_bounds_on_what_is_taken() -> None:
-    table = Table(Scripted(Arrival=send), 3, 2)
+    table = Table(Scripted(Arrival=send), 3, 2, Figures(["c"]))
     table.take(0.0, ticket(name=b"a"))
     assert replies(table.take(0.0, ticket(name=b"a"))[1])[0][1] is Ending.TWIN
     table.take(0.0, ticket(name=b"b"))
@@ -136,7 +137,7 @@
 def test_a_stream_ends_whole_or_cut_and_never_in_another_answer() -> None:
     for status, ending in ((Status.OK, Ending.SERVED), (Status.RESET, Ending.CUT)):
         module = Scripted(Arrival=send, Outcome=again, StreamBegun=lambda e: [api.Fail(e.request)])
-        table = Table(module, 3, 10)
+        table = Table(module, 3, 10, Figures(["c"]))
         ident, _ = table.take(0.0, ticket())
         assert table.begun(40.0, ident, 0) == [Begin(ident)]  # and the module's Fail answers nothing
         assert table.next_ms is None  # once begun it has no deadline
@@ -146,7 +147,7 @@
 
 
 def test_a_streams_client_that_goes_ends_the_attempt() -> None:
-    table = Table(Scripted(Arrival=send), 3, 10)
+    table = Table(Scripted(Arrival=send), 3, 10, Figures(["c"]))
     ident, _ = table.take(0.0, ticket())
     table.begun(40.0, ident, 0)
     assert table.abandon(50.0, ident) == [Withdraw(ident, 0)]
@@ -157,7 +158,7 @@
 
 def test_a_failed_answer_that_is_the_clients_counts_as_failed() -> None:
     module = Scripted(Arrival=send, Outcome=again)
-    table = Table(module, 3, 10)
+    table = Table(module, 3, 10, Figures(["c"]))
     ident, _ = table.take(0.0, ticket())
     effects = table.ended(10.0, ident, 0, Status.ERROR, final=True, payload="500")
     assert effects == [Reply(ident, Ending.FAILED, payload="500")]
@@ -167,7 +168,7 @@
 
 def test_a_streamed_body_rests_the_deadline_and_bars_a_repeat() -> None:
     module = Scripted(Arrival=send, Outcome=again)
-    table = Table(module, 3, 10)
+    table = Table(module, 3, 10, Figures(["c"]))
     ident, _ = table.take(0.0, ticket(wait=1000.0))
     table.uploading(ident)
     assert table.next_ms is None
@@ -181,7 +182,7 @@
 
 def test_the_modules_timers_and_many_deadlines_share_one_time() -> None:
     module = Scripted(Abandoned=lambda e: [api.SetTimer(30.0, 5)])
-    table = Table(module, 3, 5000)
+    table = Table(module, 3, 5000, Figures(["c"]))
     for n in range(2000):
         ident, _ = table.take(float(n), ticket())
         table.abandon(float(n), ident)
@@ -221,7 +222,7 @@
     """One reply each, one attempt out at a time, every end told once, and nothing left behind."""
     rng = random.Random(seed)
     module = Wild(seed)
-    table = Table(module, 3, 20)
+    table = Table(module, 3, 20, Figures(["c"]))
     out: dict[int, int] = {}
     answered: Counter[int] = Counter()
     hung_up: set[int] = set()
@@ -280,6 +281,6 @@
 @pytest.mark.parametrize("wait", [4.0, 40.0])
 def test_the_modules_deadline_is_before_the_clients_and_after_now(wait: float) -> None:
     module = Scripted()
-    Table(module, 3, 10).take(0.0, ticket(wait))
+    Table(module, 3, 10, Figures(["c"])).take(0.0, ticket(wait))
     arrival = module.heard[0]
     assert isinstance(arrival, api.Arrival) and 0 < arrival.deadline_ms < wait
