--- a/basaltpoint/config/address.py
+++ b/basaltpoint/config/address.py
@@ -21,6 +21,18 @@
     return host.strip("[]"), int(port)
 
 
+def inherited(descriptor: int) -> socket.socket:
+    """The listening socket that this process was started with; ConfigError where there is none."""
+    try:
+        made = socket.socket(fileno=descriptor)
+        if not made.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError("it does not listen")
+    except OSError as error:
+        raise ConfigError(f"descriptor {descriptor} is no listening socket: {error}") from None
+    made.setblocking(False)
+    return made
+
+
 def listener(address: Address, backlog: int) -> socket.socket:
     """A socket that listens there, for a loop; OSError where the address can't be had."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -8,11 +8,12 @@
 import os
 import random
 import signal
+import socket
 from collections.abc import Iterable
 
 import uvloop
 
-from basaltpoint.config.address import ConfigError
+from basaltpoint.config.address import ConfigError, inherited
 from basaltpoint.fronts.control.console import Console
 from basaltpoint.fronts.platform import config as configuration
 from basaltpoint.fronts.platform.clients import Clients
@@ -62,14 +63,14 @@
     return console
 
 
-async def serve(config: configuration.Config) -> None:
-    """Serve until told to end, then finish what was taken."""
+async def serve(config: configuration.Config, held: socket.socket | None = None) -> None:
+    """Serve until told to end, then finish what was taken. `held`: the platform's listening socket."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     limiter = Limiter(config)
     most = int((config.sockets - MARGIN) * (1 - SERVER_PART))
-    clients = Clients(limiter, config.settings, config.listen, most, config.body_bytes)
+    clients = Clients(limiter, config.settings, config.listen, most, config.body_bytes, held)
     rng = random.Random(config.seed ^ SEED)
     watch = Watch(config.discovery, limiter.listed, Patience(rng))
     watch.seq = limiter.known_seq
@@ -92,11 +93,12 @@
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         config = configuration.load(os.environ)
+        held = inherited(config.socket_fd) if config.socket_fd is not None else None
     except ConfigError as error:
         log.error("%s", error)
         return 2
     # The start's objects stay for good; searching them again and again would stall requests.
     gc.freeze()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(config))
+        runner.run(serve(config, held))
     return 0
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -414,8 +414,15 @@
     """The listener and the connections it took; they are bounded and end in an orderly drain."""
 
     def __init__(
-        self, limiter: Limiter, settings: Settings, address: Address, most: int, most_bytes: int
+        self,
+        limiter: Limiter,
+        settings: Settings,
+        address: Address,
+        most: int,
+        most_bytes: int,
+        held: socket.socket | None = None,
     ) -> None:
+        """`held`: the listening socket that the platform holds; others may listen on it, too."""
         self.limiter = limiter
         self.checker = Checker(settings)
         self.draining = False  # a front shall bring nobody new
@@ -430,7 +437,8 @@
         self._bytes = 0  # of bodies that come in or wait for their answer
         self._last_accept = 0.0
         self._accepting = False
-        self._listener = listener(address, backlog=1024)
+        self._held = held is not None
+        self._listener = held or listener(address, backlog=1024)
 
     @property
     def address(self) -> Address:
@@ -551,11 +559,15 @@
         """Finish what was taken: listen while connections still come, then until all is answered."""
         start = monotonic()
         self.draining = True
-        while (now := monotonic()) < start + DRAIN_MOST_S:
+        if self._held:
+            # What waits in the platform's socket is the next process's. A client leaves behind an answer.
+            self.closing = True
+        while not self._held and (now := monotonic()) < start + DRAIN_MOST_S:
             if now >= max(start + DRAIN_S, self._last_accept + QUIET_S):
                 break
             await asyncio.sleep(0.01)
-        self._accept()  # what came since the last turn is taken, too
+        if not self._held:
+            self._accept()  # what came since the last turn is taken, too
         self.stop_listening()
         while self._open and monotonic() < start + self._stays_s:
             await asyncio.sleep(0.01)
--- a/basaltpoint/fronts/platform/config.py
+++ b/basaltpoint/fronts/platform/config.py
@@ -30,6 +30,7 @@
     listen: Address
     discovery: Address
     control: Address | None  # where operators call
+    socket_fd: int | None  # the clients' listening socket, where the platform holds it
     seed: int
     sockets: int
     body_bytes: int  # of clients' bodies held at a time
@@ -64,6 +65,14 @@
     return parse_address(text) if text else None
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isdecimal():
+        raise ConfigError(f"GW_SOCKET_FD is not the number of a descriptor: {text!r}")
+    return int(text)
+
+
 def _seed(text: object) -> int:
     try:
         return int(str(text), 16)
@@ -107,6 +116,7 @@
         listen=parse_address(environ.get("GW_LISTEN") or raw.get("listen")),
         discovery=parse_address(environ.get("GW_DISCOVERY") or raw.get("discovery")),
         control=_optional(environ.get("GW_CONTROL") or raw.get("control")),
+        socket_fd=_descriptor(environ.get("GW_SOCKET_FD")),
         seed=_seed(raw.get("seed", "0")),
         sockets=int(_number(limits, "sockets", SOCKETS)),
         body_bytes=_body_bytes(_number(limits, "memory_mb", MEMORY_MB)),
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -209,6 +209,7 @@
         "listen": ("127.0.0.1", 0),
         "discovery": discovery,
         "control": None,
+        "socket_fd": None,
         "seed": 1,
         "sockets": 1024,
         "body_bytes": 1 << 24,
