Bodies of any size stream both ways, over one carrier of answers for both fronts

Design: up to 64 KiB a body is held whole, as before: an answer that breaks off can be told from a good one and another attempt may follow. Beyond it goes on as it comes, with bounded buffers and back pressure; what has begun is not repeated. upstream/streams.py now carries the platform's answers too; upstream/whole.py is the receiver that holds, and a passage takes what is too long. Not chosen: streaming everything (no lost answer could be repeated), and a second streaming connection beside the held one (two framings that drift).

The module leaves an upload's time out of what tells of a jam. A head has 3 s, a body 32 kB a second; a server silent within an answer 5 s, a client that reads nothing 10 s.

Failed try: passing on any answer of unknown length after 0.1 s served answers that stopped short. Tests: every form and size cut anywhere, breaks in the middle, slow ends, 100-continue, trailers cut, 50 bodies of 32 MB.

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -244,10 +244,12 @@
         )
         return self._run(now)
 
-    def uploading(self, ident: int) -> None:
+    def uploading(self, now: float, ident: int) -> list[Effect]:
         """The request's body is being streamed: no attempt can follow this one, and the deadline rests."""
-        if entry := self.entries.get(ident):
+        if (entry := self.entries.get(ident)) and entry.out is not None:
             entry.spent = entry.uploading = True
+            self._events.append(api.Uploading(ident, entry.out))
+        return self._run(now)
 
     def uploaded(self, now: float, ident: int) -> None:
         """The body is whole: from now on the client's wait counts, and the server's time."""
--- a/basaltpoint/fronts/http/passage.py
+++ b/basaltpoint/fronts/http/passage.py
@@ -122,7 +122,7 @@
             if self.whole:
                 if self.request.length is None:
                     stream.send(b"0\r\n" + message.trailers(self.body_trailers))
-                stream.sending = False
+                stream.sent()
                 self.relay.uploaded(self)
         self.connection.hold_upload(self.streamed and self.held > self.relay.buffer)
 
@@ -136,7 +136,7 @@
         self.stream = stream
         if self.streamed:
             stream.sending = True
-            self.relay.table.uploading(self.ident)
+            self.relay.uploading(self)
             self._pump()
 
     def writable(self, ready: bool) -> None:
@@ -181,7 +181,7 @@
             if sum(map(len, self.kept)) > HELD:
                 self._pass()
 
-    def end(self, trailers: Headers) -> None:
+    def completed(self, trailers: Headers) -> None:
         self.trailers, self.kept_whole = trailers, True
 
     def ended(self, answer: Answer) -> None:
@@ -259,5 +259,5 @@
     def data(self, piece: bytes) -> None:
         pass
 
-    def end(self, trailers: Headers) -> None:
+    def completed(self, trailers: Headers) -> None:
         pass
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -177,6 +177,10 @@
         """Its answer's head has come and is to be passed on."""
         self.do(self.table.begun(self.now(), passage.ident, passage.number))
 
+    def uploading(self, passage: Passage) -> None:
+        """Its body is on its way to the server."""
+        self.do(self.table.uploading(self.now(), passage.ident))
+
     def uploaded(self, passage: Passage) -> None:
         """Its streamed body is whole: now the deadline counts."""
         now = self.now()
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -17,16 +17,19 @@
 
 from basaltpoint.config.address import Address, listener
 from basaltpoint.fronts.platform.limiter import Limiter, Terms
+from basaltpoint.fronts.platform.passage import Passage
 from basaltpoint.interface import Effect, Settings
+from basaltpoint.upstream.whole import HELD, LONGEST
 
 log = logging.getLogger(__name__)
 
-BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
 PIPELINED = 4  # requests read ahead on a connection; further ones stay in the socket
 ACCEPTS = 64  # connections taken at a time, so that those that are open get their turn
 ACCEPT_AGAIN_S = 0.05  # after the descriptors ran out
-STALL_S = 2.0  # for a request to come whole, the first one from the connecting on; more is given up
+STALL_S = 3.0  # for a head to come whole, the first one from the connecting on; clients may take 2 s
+LEAST_RATE = 32_000  # bytes a second of a body, on the mean; clients may send 64,000
+STUCK_S = 10.0  # for a client to take any more of its answer
 LINGER_S = 1.0  # how long a refused sender may go on before its connection is cut
 DRAIN_S = 0.45  # after SIGTERM new connections come for 0.4 s at the most
 QUIET_S = 0.1  # and the last of them shall be so old before nobody listens any more
@@ -72,15 +75,46 @@
 class Call:
     """One request of a client and, once it is there, its answer."""
 
-    __slots__ = ("_connection", "body", "forward", "ident", "keep", "reply")
+    __slots__ = (
+        "_connection",
+        "begun",
+        "body",
+        "broken",
+        "chunked",
+        "done",
+        "ends",
+        "forward",
+        "keep",
+        "passage",
+        "pieces",
+        "reply",
+        "started",
+        "streamed",
+    )
 
-    def __init__(self, connection: _Client, keep: bool, forward: bytes = b"", body: bytes = b"") -> None:
+    def __init__(
+        self,
+        connection: _Client,
+        keep: bool,
+        forward: bytes = b"",
+        body: bytes = b"",
+        streamed: bool = False,
+        chunked: bool = False,
+    ) -> None:
         self._connection = connection
         self.keep = keep
         self.forward = forward
         self.body = body
-        self.ident = 0
+        self.streamed = streamed
+        self.chunked = chunked
+        self.passage: Passage | None = None  # of one that was taken on
         self.reply: tuple[int, bytes, bytes] | None = None
+        # Of an answer that goes on in pieces.
+        self.started: tuple[bytes, int | None] | None = None  # its headers and length
+        self.begun = False  # its head was written
+        self.pieces: list[bytes] = []  # that wait for their turn
+        self.done = self.broken = False
+        self.ends = False  # the connection ends behind it
 
     def answer(self, code: int, body: bytes = b"", content_type: bytes = b"", retry_s: float = 0.0) -> None:
         if self.reply is None:
@@ -90,6 +124,30 @@
             self.reply = code, headers, body
             self._connection.flush()
 
+    def start(self, content_type: bytes, length: int | None) -> None:
+        self.started = (b"Content-Type: " + content_type + b"\r\n" if content_type else b""), length
+        self._connection.flush()
+        if not self.begun and self.passage:
+            self.passage.reading(False)  # until its turn comes
+
+    def piece(self, data: bytes) -> None:
+        self.pieces.append(data)
+        self._connection.flush()
+
+    def finish(self) -> None:
+        self.done = True
+        self._connection.flush()
+
+    def cut(self) -> None:
+        self.broken = True
+        self._connection.flush()
+
+    def hold_upload(self, held: bool) -> None:
+        self._connection.hold_upload(held)
+
+    def release(self, size: int) -> None:
+        self._connection.release(size)
+
 
 def stays_s(settings: Settings) -> float:
     """For how long after SIGTERM a request on an open connection can still be answered before SIGKILL."""
@@ -178,6 +236,11 @@
         self._deaf = False  # no further request is read from it
         self._paused = False
         self._stuck = False  # it does not read its answers
+        self.stuck_since: float | None = None
+        self._held_up = False  # the server does not take more of its body
+        self._paused_at = 0.0
+        self._upload: Call | None = None  # whose body is coming, and goes on as it comes
+        self._turn: Call | None = None  # whose answer is being passed on
         self._url = b""
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
@@ -185,6 +248,7 @@
         self._headed = False
         self.begun: float | None = None  # since when a request is coming in
         self.made = monotonic()
+        self._old = False  # it speaks HTTP/1.0 and knows no chunks
         self.served = False
         self.taken = False  # a whole request has come
 
@@ -199,27 +263,42 @@
         self._clients.gone(self)
         calls, self._calls = self._calls, deque()
         self._drop_body()
+        self._upload = self._turn = None
         for call in calls:
             self._clients.release(len(call.body))
-            if call.reply is None:
-                self._clients.limiter.abandon(call.ident)
+            if call.passage:
+                self._clients.limiter.abandon(call.passage)
 
     def pause_writing(self) -> None:
-        self._stuck = True
+        self._stuck, self.stuck_since = True, monotonic()
         self._pace()
 
     def resume_writing(self) -> None:
-        self._stuck = False
+        self._stuck, self.stuck_since = False, None
+        self._pace()
+
+    def hold_upload(self, held: bool) -> None:
+        """Take no more of a body while the server does not."""
+        self._held_up = held
         self._pace()
 
+    def release(self, size: int) -> None:
+        self._clients.release(size)
+
     def _pace(self) -> None:
         """Read on only where what was read before moves on: else one client could fill the memory."""
-        full = self._stuck or len(self._calls) >= PIPELINED
+        if self._turn and self._turn.passage:
+            self._turn.passage.reading(not self._stuck)
+        full = self._stuck or self._held_up or len(self._calls) >= PIPELINED
         if self._transport and full != self._paused and not self._transport.is_closing():
             self._paused = full
             if full:
+                self._paused_at = monotonic()
                 self._transport.pause_reading()
             else:
+                waited = monotonic() - self._paused_at  # by us, not by the client
+                self.made += waited
+                self.begun = self.begun + waited if self.begun is not None else None
                 self._transport.resume_reading()
 
     def close(self) -> None:
@@ -227,6 +306,11 @@
         if self._transport:
             self._transport.close()
 
+    def abort(self) -> None:
+        self._deaf = True
+        if self._transport:
+            self._transport.abort()
+
     def cut(self) -> None:
         """Close without waiting for a sender that is still at it, once what is due is answered."""
         if self._transport and not self._calls:
@@ -239,7 +323,9 @@
     def stalled(self, limit: float) -> bool:
         """Whether a request, or any word on a new connection, has been awaited since before the limit."""
         since = self.begun if self.taken else self.made
-        return since is not None and since < limit and not self._deaf and not self._paused
+        if since is None or self._deaf or self._paused:
+            return False
+        return since + (self._size / LEAST_RATE if self._headed else 0.0) < limit
 
     @property
     def idle(self) -> bool:
@@ -292,13 +378,16 @@
 
     def on_headers_complete(self) -> None:
         self._headed, self._size = True, 0
+        self._old = self._parser.get_http_version() == "1.0"
         length = self._headers.get(b"content-length", b"0")
         if (coding := self._headers.get(b"transfer-encoding")) is not None and (
             b"content-length" in self._headers or coding.lower() != b"chunked"
         ):
             self.reject(400)  # its body may hide another request
-        elif length.isdigit() and int(length[:9]) > BODY_LIMIT:
+        elif length.isdigit() and int(length[:9]) > LONGEST:
             self.reject(413)
+        elif length.isdigit() and int(length) > HELD:
+            self._stream(False)
         elif (
             self._headers.get(b"expect", b"").lower() == b"100-continue"
             and not self._calls
@@ -310,19 +399,29 @@
         if self._deaf:
             return
         self._size += len(body)
-        if self._size > BODY_LIMIT:
+        if self._size > LONGEST:
             self.reject(413)
-        elif self._clients.hold(len(body)):
-            self._body.append(body)
-        else:
+        elif not self._clients.hold(len(body)):
             self.reject(503)  # many at once could pass the limit on memory
+        elif self._upload and self._upload.passage:
+            self._upload.passage.feed(body)
+        else:
+            self._body.append(body)
+            if self._size > HELD:
+                self._stream(True)
 
     def on_message_complete(self) -> None:
         self.begun, self._headed, self._size = None, False, 0
         self.taken = True
         self._clients.coming.pop(self, None)
+        upload, self._upload = self._upload, None
         if self._deaf:
             return
+        if upload and upload.passage:
+            self._deaf = not upload.keep
+            upload.passage.fed()
+            self._pace()
+            return
         # Behind a request for another protocol no further one of ours can be told.
         keep = self._parser.should_keep_alive() and not self._parser.should_upgrade()
         self._deaf = not keep
@@ -342,17 +441,46 @@
         except BadRequestError as error:
             self._reply(keep, error.code, str(error))
             return
+        self._clients.hold(len(body))  # what was just released, until it is answered
+        framing = b"Content-Length: %d\r\n" % len(body) if method == b"POST" else b""
+        call = Call(self, keep, self._forward(method, url) + framing, body)
+        self._calls.append(call)
+        call.passage = self._clients.limiter.take(call, terms)
+
+    def _forward(self, method: bytes, url: bytes) -> bytes:
         head = [method, b" ", url, b" HTTP/1.1\r\nHost: backend.local\r\nReq-Id: ", self._headers[b"req-id"]]
         if key := self._headers.get(b"idempotency-key"):
             head += [b"\r\nIdempotency-Key: ", key]
         if kind := self._headers.get(b"content-type"):
             head += [b"\r\nContent-Type: ", kind]
-        if method == b"POST":
-            head += [b"\r\nContent-Length: ", str(len(body)).encode()]
-        self._clients.hold(len(body))  # what was just released, until it is answered
-        call = Call(self, keep, b"".join([*head, b"\r\n"]), body)
+        return b"".join([*head, b"\r\n"])
+
+    def _stream(self, chunked: bool) -> None:
+        """Take a request on whose body is too long to be held; it goes on as it comes."""
+        method, url = self._parser.get_method(), self._url
+        try:
+            terms = self._clients.checker.terms(method, url, self._headers, True)
+        except BadRequestError as error:
+            self.reject(error.code)
+            return
+        keep = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        framing = b"Content-Length: " + self._headers.get(b"content-length", b"0") + b"\r\n"
+        if chunked or b"transfer-encoding" in self._headers:
+            framing, chunked = b"Transfer-Encoding: chunked\r\n", True
+        call = Call(self, keep, self._forward(method, url) + framing, streamed=True, chunked=chunked)
         self._calls.append(call)
-        call.ident = self._clients.limiter.take(call, terms)
+        self._upload = call
+        call.passage = passage = self._clients.limiter.take(call, terms)
+        if self._headers.get(b"expect", b"").lower() == b"100-continue" and not chunked and self._transport:
+            if passage.over:
+                call.keep, self._upload = False, None  # the body may never come, or come all the same
+                self._deaf = self._rejected = True
+                self._clients.coming.pop(self, None)
+            elif len(self._calls) == 1:
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        pieces, self._body = self._body, []
+        for piece in pieces:
+            passage.feed(piece)
 
     def _reply(self, keep: bool, code: int, text: str = "") -> None:
         call = Call(self, keep)
@@ -369,25 +497,53 @@
             self._deaf = self._rejected = True
             self._clients.coming.pop(self, None)
             self._drop_body()
-            self._reply(False, code)
+            call, self._upload = self._upload, None
+            if call is None or call not in self._calls:
+                self._reply(False, code)
+                return
+            if call.passage:
+                self._clients.limiter.abandon(call.passage)
+            call.keep = False
+            if call.started:
+                call.cut()
+            else:
+                call.answer(code)
 
     # --- Answering -----------------------------------------------------------------------------
     def flush(self) -> None:
         """Write the answers that are there, in the order of their requests, in one piece."""
         if self._transport is None or self._transport.is_closing() or self._reading:
             return
-        parts, last = [], False
-        while self._calls and (reply := self._calls[0].reply):
-            call = self._calls.popleft()
+        parts: list[bytes] = []
+        last = False
+        while self._calls and not last:
+            call = self._calls[0]
+            if reply := call.reply:
+                self._calls.popleft()
+                self._clients.release(len(call.body))
+                code, headers, body = reply
+                # What is still coming of its body is read past, for its sender to find the answer.
+                last = not self._calls and call is not self._upload
+                last = last and not (call.keep and self._clients.keeps)
+                parts += [
+                    f"HTTP/1.1 {code} {REASONS[code]}\r\nContent-Length: {len(body)}\r\n".encode(),
+                    headers,
+                    b"Connection: close\r\n\r\n" if last else b"\r\n",
+                    body,
+                ]
+                continue
+            if call.broken:
+                self._transport.abort()  # the client must see that it is not whole
+                return
+            if not call.started:
+                break
+            self._turn = call
+            parts += self._passed_on(call)
+            if not call.done:
+                break
+            self._calls.popleft()
             self._clients.release(len(call.body))
-            code, headers, body = reply
-            last = not self._calls and not (call.keep and self._clients.keeps)
-            parts += [
-                f"HTTP/1.1 {code} {REASONS[code]}\r\nContent-Length: {len(body)}\r\n".encode(),
-                headers,
-                b"Connection: close\r\n\r\n" if last else b"\r\n",
-                body,
-            ]
+            self._turn, last = None, call.ends
         if parts:
             self.served = True
             self._transport.write(b"".join(parts))
@@ -397,6 +553,28 @@
         elif self.idle and not self._deaf:
             self._clients.idle[self] = None
 
+    def _passed_on(self, call: Call) -> list[bytes]:
+        """What there is by now of an answer that is passed on, framed for this client."""
+        assert call.started
+        headers, length = call.started
+        pieces, call.pieces = call.pieces, []
+        bare = length is not None or self._old
+        if not bare:
+            pieces = [part for piece in pieces if piece for part in (b"%x\r\n" % len(piece), piece, b"\r\n")]
+            if call.done:
+                pieces.append(b"0\r\n\r\n")
+        if call.begun:
+            return pieces
+        call.begun = True
+        call.ends = not call.keep or (length is None and self._old)
+        call.ends = call.ends or (len(self._calls) == 1 and self._upload is None and not self._clients.keeps)
+        if call.ends:
+            self._deaf = True
+        framing = b"" if self._old else b"Transfer-Encoding: chunked\r\n"
+        framing = b"Content-Length: %d\r\n" % length if length is not None else framing
+        ends = b"Connection: close\r\n\r\n" if call.ends else b"\r\n"
+        return [b"HTTP/1.1 200 OK\r\n", framing, headers, ends, *pieces]
+
     def _end(self) -> None:
         """Close behind the last answer. Cut off at once, a sender still at it could lose that answer."""
         self._deaf = True
@@ -554,6 +732,10 @@
                 client.close()
             else:
                 client.reject(408)
+        limit = monotonic() - STUCK_S
+        for client in [c for c in self._open if c.stuck_since is not None and c.stuck_since < limit]:
+            log.warning("a client has stopped reading its answer")
+            client.abort()
 
     async def drain(self) -> None:
         """Finish what was taken: listen while connections still come, then until all is answered."""
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import json
 import logging
@@ -9,51 +10,34 @@
 import time
 from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
+from time import monotonic
 from zlib import crc32
 
 from basaltpoint import interface as api
-from basaltpoint.core.table import Begin, Dispatch, Effect, Ending, Fault, Reply, Table, Ticket, Withdraw
+from basaltpoint.core.table import Begin, Dispatch, Effect, Fault, Reply, Table, Ticket, Withdraw
 from basaltpoint.fronts.platform.config import Config
+from basaltpoint.fronts.platform.passage import Call, Passage
 from basaltpoint.fronts.shell import EPOCH_MS, Shell
 from basaltpoint.interface import ServerState
 from basaltpoint.membership.discovery import Host, HostList, parse_list
 from basaltpoint.policy import Gateway
 from basaltpoint.telemetry.figures import Figures, Gauges
-from basaltpoint.upstream.servers import Answer, Attempt, Servers
-from basaltpoint.upstream.whole import WholeAnswers
+from basaltpoint.upstream.servers import Answer, Servers
+from basaltpoint.upstream.whole import WholeAttempt, connection
 
 log = logging.getLogger(__name__)
 
 EARLY_S = 0.010  # the module's deadline lies so much before the client's: the answer is on its way, too
 PROBE_S = 0.25
+DAY_S = 86400.0  # stands for no limit while a body is on its way; the bounds on what stands still end it
+SILENT_S = 5.0  # for a server in the middle of an answer, or of a body that it does not take
 LOAD_MOST = 10_000.0  # of any figure in a load report; no server holds or serves more
 SERVER_PART = 0.4  # of the sockets may be connections to servers
 MARGIN = 32  # descriptors for the listener, discovery, the loop and the log
 
-CODES = {
-    Ending.REFUSED: 429,
-    Ending.FAILED: 502,
-    Ending.OVERDUE: 504,
-    Ending.FAULT: 500,
-    Ending.BUSY: 503,
-    Ending.TWIN: 409,
-}
 PROBE = b"GET /metrics/load HTTP/1.1\r\nHost: backend.local\r\n\r\n"
 
 
-class Call(Protocol):
-    """A client's request as the client side hands it over."""
-
-    @property
-    def forward(self) -> bytes: ...  # request line and headers that go on, without the deadline
-    @property
-    def body(self) -> bytes: ...
-    def answer(
-        self, code: int, body: bytes = b"", content_type: bytes = b"", retry_s: float = 0.0
-    ) -> None: ...
-
-
 @dataclass(frozen=True, slots=True)
 class Terms:
     """A request's `name` (Req-Id), how long its client waits, and what the module is told of it."""
@@ -87,12 +71,12 @@
         # One offset for good: converted afresh each time, a start would seem to move and be a restart.
         self._wall_ms = EPOCH_MS - time.time() * 1000
         most = int((config.sockets - MARGIN) * SERVER_PART)
-        self._servers = Servers(most, config.connect_s, config.reuse_s, WholeAnswers)
+        self._servers = Servers(most, config.connect_s, config.reuse_s, connection)
         self._numbers: dict[str, int] = {}  # of the servers that are not gone
         self._next_number = itertools.count()  # never used again: outcomes may come after the end
         self._zones = {zone: number for number, zone in enumerate(config.zones)}
-        self._calls: dict[int, tuple[Call, int]] = {}  # of the requests that wait for their reply; the class
-        self._attempts: dict[int, Attempt] = {}  # the one that is out, by request
+        self._passages: dict[int, Passage] = {}  # of the requests that wait for their reply
+        self._attempts: dict[int, WholeAttempt] = {}  # the one that is out, by request
         self.known_seq = 0
         self._known(config)
 
@@ -121,7 +105,7 @@
         listed = set(self._numbers.values())
         return Gauges(self.table.open, len(listed), len(avoided & listed))
 
-    def take(self, call: Call, terms: Terms) -> int:
+    def take(self, call: Call, terms: Terms) -> Passage:
         """Take a request on; from here it gets one answer, before its client gives up."""
         wait_s = min(terms.wait_s, self._settings.classes[terms.cls].deadline_ms / 1000)
         ticket = Ticket(
@@ -134,15 +118,33 @@
             EARLY_S * 1000,
             name=terms.name,
         )
-        ident, effects = self.table.take(self.now(), ticket)
-        self._calls[ident] = call, terms.cls
+        passage = Passage(self, call, terms.cls, ticket.wait_ms)
+        passage.ident, effects = self.table.take(self.now(), ticket)
+        self._passages[passage.ident] = passage
         self.do(effects)
-        return ident
-
-    def abandon(self, ident: int) -> None:
-        """The client has hung up."""
-        if self._calls.pop(ident, None):
-            self.do(self.table.abandon(self.now(), ident))
+        return passage
+
+    def abandon(self, passage: Passage) -> None:
+        """The client has hung up, or is given up on."""
+        if self._passages.pop(passage.ident, None):
+            passage.gone()
+            self.do(self.table.abandon(self.now(), passage.ident))
+
+    def begun(self, passage: Passage) -> None:
+        """Its answer's head has come, and the answer is too long to be held."""
+        self.do(self.table.begun(self.now(), passage.ident, passage.number))
+
+    def uploading(self, passage: Passage) -> None:
+        """Its body is on its way to the server: no deadline counts until it is whole."""
+        self.do(self.table.uploading(self.now(), passage.ident))
+
+    def uploaded(self, passage: Passage) -> None:
+        """Its body is whole: now the deadline counts."""
+        now, wait = self.now(), passage.wait_ms
+        self.table.uploaded(now, passage.ident)
+        if passage.attempt and not passage.passing:
+            passage.attempt.rearm(self.loop_time(now + max(wait - EARLY_S * 1000, wait / 2)))
+        self.arm()
 
     def listed(self, told: HostList) -> None:
         self._list(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
@@ -167,7 +169,15 @@
         )
 
     def sweep(self) -> None:
+        """End what stands still: each would hold a server's connection for good."""
         self._servers.sweep()
+        now = monotonic()
+        for passage in list(self._passages.values()):
+            stream, stuck = passage.stream, passage.stuck_since
+            silent = passage.passing and stream and not stream.paused and now - stream.heard > SILENT_S
+            if stream and (silent or (stuck is not None and now - stuck > SILENT_S)):
+                log.warning("a server has stopped in the middle of %s", "an answer" if silent else "a body")
+                stream.fail()
 
     def close(self) -> None:
         self._servers.close()
@@ -178,8 +188,8 @@
             case Dispatch():
                 self._dispatch(effect)
             case Reply():
-                if held := self._calls.pop(effect.request, None):
-                    self._answer(held[0], effect)
+                if passage := self._passages.pop(effect.request, None):
+                    passage.reply(effect)
             case Withdraw():
                 if attempt := self._attempts.get(effect.request):
                     attempt.cancel()
@@ -192,24 +202,33 @@
             case Fault():
                 log.error("%s", effect.text)
             case Begin():
-                raise AssertionError("this front streams nothing")
+                if passage := self._passages.get(effect.request):
+                    passage.passing = True
 
     def _dispatch(self, effect: Dispatch) -> None:
-        ident, (call, cls) = effect.request, self._calls[effect.request]  # the table sends for no other
+        ident, passage = effect.request, self._passages[effect.request]  # the table sends for no other
+        call = passage.call
         left = f"Req-Deadline: {(effect.until_ms - self.now()) / 1000:.3f}\r\n\r\n"
-        self._attempts[ident] = self._servers.send(
-            effect.server,
+        until = self.loop_time(effect.until_ms)
+        attempt = WholeAttempt(
             call.forward + left.encode() + call.body,
-            self.loop_time(effect.until_ms),
-            partial(self._ended, ident, effect.attempt),
-            partial(self._sent, cls),
+            asyncio.get_running_loop().time() + DAY_S if call.streamed else until,
+            partial(self._ended, passage, effect.attempt),
+            partial(self._sent, passage.cls),
+            passage,
         )
+        # Before it begins: over a kept connection all of a body may go at once.
+        passage.attempt, passage.number = attempt, effect.attempt
+        self._attempts[ident] = attempt
+        self._servers.begin(effect.server, attempt)
 
     def _sent(self, cls: int) -> None:
         self.figures.of(cls).sends += 1
 
-    def _ended(self, ident: int, number: int, reply: Answer) -> None:
+    def _ended(self, passage: Passage, number: int, reply: Answer) -> None:
+        ident = passage.ident
         self._attempts.pop(ident, None)
+        passage.ended()
         load = read_load(self._settings.report_fields, reply.load)
         # A figure beyond what a request can take is no figure of this server's; it would bind the customer.
         units = reply.units if reply.units <= (self._settings.most_units or math.inf) else 0.0
@@ -226,12 +245,6 @@
             )
         )
 
-    def _answer(self, call: Call, effect: Reply) -> None:
-        if isinstance(effect.payload, Answer):
-            call.answer(200, effect.payload.body, effect.payload.content_type)
-        else:
-            call.answer(CODES[effect.ending], retry_s=effect.retry_in_ms / 1000)
-
     def _probe(self, server: int) -> None:
         now = self.now()
 
@@ -240,4 +253,4 @@
             event = api.ProbeResult(server, reply.status, self.now() - now, load)
             self.do(self.table.tell(self.now(), event))
 
-        self._servers.send(server, PROBE, self.loop_time(now) + PROBE_S, ended)
+        self._servers.begin(server, WholeAttempt(PROBE, self.loop_time(now) + PROBE_S, ended))
--- /dev/null
+++ b/basaltpoint/fronts/platform/passage.py
@@ -0,0 +1,184 @@
+"""One request on its way through the platform's front: its body in, attempts out, its answer back."""
+
+from __future__ import annotations
+
+from time import monotonic
+from typing import Protocol
+
+from basaltpoint.core.table import Ending, Reply
+from basaltpoint.upstream.servers import Answer
+from basaltpoint.upstream.streams import StreamAnswers
+from basaltpoint.upstream.whole import WholeAttempt
+
+CODES = {
+    Ending.REFUSED: 429,
+    Ending.FAILED: 502,
+    Ending.OVERDUE: 504,
+    Ending.FAULT: 500,
+    Ending.BUSY: 503,
+    Ending.TWIN: 409,
+}
+
+
+class Call(Protocol):
+    """A client's request as the client side hands it over."""
+
+    @property
+    def forward(self) -> bytes: ...  # request line and headers that go on, without the deadline
+    @property
+    def body(self) -> bytes: ...  # of one that is held whole
+    @property
+    def streamed(self) -> bool: ...  # its body comes piece by piece, and goes on so
+    @property
+    def chunked(self) -> bool: ...  # and its length is not told
+    def answer(
+        self, code: int, body: bytes = b"", content_type: bytes = b"", retry_s: float = 0.0
+    ) -> None: ...
+    def start(
+        self, content_type: bytes, length: int | None
+    ) -> None: ...  # of an answer that goes on in pieces
+    def piece(self, data: bytes) -> None: ...
+    def finish(self) -> None: ...
+    def cut(self) -> None: ...  # what has begun can't be finished, and must not look whole
+    def hold_upload(self, held: bool) -> None: ...  # take no more of the body for now
+    def release(self, size: int) -> None: ...  # so much of the body is no longer held
+
+
+class Desk(Protocol):
+    """What a passage needs of the limiter."""
+
+    def begun(self, passage: Passage) -> None: ...
+    def uploading(self, passage: Passage) -> None: ...
+    def uploaded(self, passage: Passage) -> None: ...
+
+
+class Passage:
+    """One request; the receiver of what is too long to be held."""
+
+    __slots__ = (
+        "_desk",
+        "_full",
+        "_held",
+        "_pieces",
+        "_whole",
+        "attempt",
+        "call",
+        "cls",
+        "ident",
+        "number",
+        "over",
+        "passing",
+        "stream",
+        "stuck_since",
+        "wait_ms",
+    )
+
+    def __init__(self, desk: Desk, call: Call, cls: int, wait_ms: float) -> None:
+        self._desk = desk
+        self.call = call
+        self.cls = cls
+        self.wait_ms = wait_ms  # for the answer, from the last byte of the body on
+        self.ident = 0
+        self.number = 0  # of the attempt that is out
+        self.attempt: WholeAttempt | None = None
+        self.stream: StreamAnswers | None = None  # its connection, of one that streams
+        self.passing = False  # its answer has begun to be passed on
+        self.over = False
+        self.stuck_since: float | None = None  # the server takes no more of the body
+        self._pieces: list[bytes] = []  # of a streamed body, that wait for the server
+        self._held = 0
+        self._whole = not call.streamed
+        self._full = False
+
+    # --- A streamed body, as the client's connection tells ---------------------------------------
+    def feed(self, piece: bytes) -> None:
+        """More of the body; what is answered already is read past."""
+        if self.over:
+            self.call.release(len(piece))
+            return
+        self._pieces.append(piece)
+        self._held += len(piece)
+        self._pump()
+
+    def fed(self) -> None:
+        """The body is whole."""
+        self._whole = True
+        self._pump()
+
+    def _pump(self) -> None:
+        """Send on what there is, as far as the server takes it."""
+        stream = self.stream
+        if stream is not None and stream.sending and not self._full:
+            pieces, self._pieces = self._pieces, []
+            if size := self._held:
+                data = b"".join(pieces)
+                self._held = 0
+                stream.send(b"%x\r\n%s\r\n" % (size, data) if self.call.chunked else data)
+                self.call.release(size)
+            if self._whole:
+                if self.call.chunked:
+                    stream.send(b"0\r\n\r\n")
+                self._desk.uploaded(self)
+                stream.sent()
+        self.call.hold_upload(not self.over and (self._full or self._held > 0))
+
+    # --- The attempt, as its connection tells ------------------------------------------------------
+    def connected(self, stream: StreamAnswers) -> None:
+        self.stream = stream
+        if self.call.streamed:
+            stream.sending = True
+            self._desk.uploading(self)
+            self._pump()
+
+    def writable(self, ready: bool) -> None:
+        self._full = not ready
+        self.stuck_since = None if ready else self.stuck_since or monotonic()
+        if self.call.streamed:
+            self._pump()
+
+    def begin(self, content_type: bytes, length: int | None) -> bool:
+        self._desk.begun(self)
+        if self.passing:
+            self.call.start(content_type, length)
+        return self.passing
+
+    def piece(self, data: bytes) -> None:
+        if self.passing and not self.over:
+            self.call.piece(data)
+
+    def ended(self) -> None:
+        """The attempt is over."""
+        self.attempt = self.stream = None
+        self._full, self.stuck_since = False, None
+
+    # --- The client, as its connection tells --------------------------------------------------------
+    def reading(self, ready: bool) -> None:
+        """Whether the client takes more of the answer."""
+        if self.stream and self.passing:
+            self.stream.pause(not ready)
+
+    def gone(self) -> None:
+        """Its client has gone, or is given up."""
+        self._done()
+
+    # --- The answer ------------------------------------------------------------------------------
+    def reply(self, effect: Reply) -> None:
+        """The table's word on how the request ended."""
+        if self.over:
+            return
+        self._done()
+        if self.passing:
+            if effect.ending is Ending.SERVED:
+                self.call.finish()
+            else:
+                self.call.cut()
+        elif isinstance(effect.payload, Answer):
+            self.call.answer(200, effect.payload.body, effect.payload.content_type)
+        else:
+            self.call.answer(CODES[effect.ending], retry_s=effect.retry_in_ms / 1000)
+
+    def _done(self) -> None:
+        self.over = True
+        self.call.release(self._held)
+        self._held, self._pieces = 0, []
+        self.call.hold_upload(False)
--- a/basaltpoint/interface.py
+++ b/basaltpoint/interface.py
@@ -224,6 +224,14 @@
     server: int
 
 
+@dataclass(frozen=True, slots=True)
+class Uploading:
+    """The request's body is on its way: the time of this attempt tells nothing of the server yet."""
+
+    request: int
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Abandoned:
     request: int
@@ -272,6 +280,7 @@
     | Arrival
     | Outcome
     | StreamBegun
+    | Uploading
     | Abandoned
     | TimerFired
     | ProbeResult
--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -83,6 +83,7 @@
             api.Abandoned: self._abandon,
             api.ServerList: self._listed,
             api.StreamBegun: self._begun,
+            api.Uploading: self._uploading,
             api.NewSettings: self._told,
             api.Checked: self._checked,
             api.Recall: self._recall,
@@ -330,6 +331,11 @@
             request.streaming = True
             request.pool.out.pop((event.request, event.attempt), None)
 
+    def _uploading(self, now: float, event: api.Uploading) -> None:
+        """Its time is its client's for now: a slow one would look like a jam."""
+        if request := self.requests.get(event.request):
+            request.pool.out.pop((event.request, event.attempt), None)
+
     def _cancel(self, request: Request) -> None:
         if self.settings.may_cancel and not request.streaming:
             ident = request.event.request
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -174,17 +174,6 @@
     def any_ready(self) -> bool:
         return any(server.ready for server in self._servers.values())
 
-    def send(
-        self,
-        number: int,
-        message: bytes,
-        until: float,
-        on_end: Callable[[Answer], None],
-        on_written: Callable[[], None] | None = None,
-    ) -> Attempt:
-        """Begin an attempt with one message."""
-        return self.begin(number, Attempt(message, until, on_end, on_written))
-
     def begin(self, number: int, attempt: A) -> A:
         """Begin an attempt over the latest used free connection, or over a new one."""
         server = self._servers[number]
--- a/basaltpoint/upstream/streams.py
+++ b/basaltpoint/upstream/streams.py
@@ -19,6 +19,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 MOST_HEADERS = 256
+MOST_INTERIM = 32  # answers ahead of the final one; a server that sends more sends no final one
 
 
 class Receiver(Protocol):
@@ -33,7 +34,7 @@
     def data(self, piece: bytes) -> None:
         """A piece of the answer's body."""
 
-    def end(self, trailers: Headers) -> None:
+    def completed(self, trailers: Headers) -> None:
         """The answer is whole; the attempt's end follows."""
 
     def connected(self, stream: StreamAnswers) -> None:
@@ -55,8 +56,9 @@
         on_end: Callable[[Answer], None],
         receiver: Receiver,
         head_only: bool,
+        on_written: Callable[[], None] | None = None,
     ) -> None:
-        super().__init__(message, until, on_end)
+        super().__init__(message, until, on_end, on_written)
         self.receiver = receiver
         self.head_only = head_only
 
@@ -64,6 +66,9 @@
         """The answer has begun: its time limit no longer counts."""
         self._timer.cancel()
 
+    def touched(self) -> None:
+        """Bytes have come, and an answer has come in part."""
+
 
 class StreamAnswers(Connection):
     """A connection whose answers are handed on piece by piece.
@@ -75,6 +80,7 @@
     def __init__(
         self, servers: Servers, server: Server, sock: socket.socket, head_limit: int, buffer: int
     ) -> None:
+        """`buffer`: bytes of a request that may wait to be written; with 0 it is known when the last was."""
         super().__init__(servers, server, sock)
         self._head_limit = head_limit
         self._buffer = buffer
@@ -86,6 +92,8 @@
         self._told = 0  # and as told by the parser
         self._headed = self._complete = self._keep = self._to_the_end = self._skip = False
         self._paused = False
+        self._within = False  # an answer has come in part
+        self._interim = 0
         self.sending = False  # the request's body is not whole yet
         self.heard = 0.0  # when the server last said something
 
@@ -102,17 +110,34 @@
         self._headed = self._complete = self._keep = self._to_the_end = False
         if self._skip:  # the last answer's body was announced and not sent: a parser would wait for it
             self._parser, self._skip = httptools.HttpResponseParser(self), False
-        self.sending = False
+        self.sending = self.written = False
+        self._interim = 0
         self.heard = monotonic()
         self._transport.write(attempt.message)
-        self.written = not self._transport.is_closing()
         attempt.receiver.connected(self)
+        self._check_written()
 
     def send(self, piece: bytes) -> None:
         """More of the request's body, framed as its head says."""
         if self._transport and self._attempt:
             self._transport.write(piece)
 
+    def sent(self) -> None:
+        """The request's body is whole."""
+        self.sending = False
+        self._check_written()
+
+    def _check_written(self) -> None:
+        """Note when the last byte has gone. With a buffer a server may have all that counts before that."""
+        transport, attempt = self._transport, self._attempt
+        # A write that fails closes the transport at once; one that is cut short leaves a rest in it.
+        if not transport or not attempt or self.written or transport.is_closing():
+            return
+        if self._buffer or not (self.sending or transport.get_write_buffer_size()):
+            self.written = True
+            if attempt.on_written:
+                attempt.on_written()
+
     def pause_writing(self) -> None:
         if self._attempt:
             self._attempt.receiver.writable(False)
@@ -120,6 +145,7 @@
     def resume_writing(self) -> None:
         if self._attempt:
             self._attempt.receiver.writable(True)
+            self._check_written()
 
     # --- Back pressure -------------------------------------------------------------------------
     def pause(self, paused: bool) -> None:
@@ -162,8 +188,11 @@
             self._finish()
         elif self._attempt and not self._headed and self._size > self._head_limit:
             self._spoil("a head that does not end")
+        elif self._attempt and self._within:
+            self._attempt.touched()
 
     def on_message_begin(self) -> None:
+        self._within = True
         if self._complete:
             self._keep = False  # bytes behind the answer: what follows is not to be trusted
         self._headers, self._reason = [], b""
@@ -185,8 +214,11 @@
             self._spoil("too many headers, or too long ones")
         elif code == 101:
             self._spoil("an upgrade that nobody asked for")
+        elif code < 200 and self._interim >= MOST_INTERIM:
+            self._spoil("interim answers without end")
         elif code < 200:
             self._size = self._told = 0
+            self._interim += 1
             self._attempt.receiver.interim(code, headers)
         else:
             self._headed = True
@@ -220,6 +252,7 @@
             self._attempt.receiver.data(body)
 
     def on_message_complete(self) -> None:
+        self._within = False
         if self._headed and not self._complete and self._attempt and not self._to_the_end:
             self._whole(self._headers)
 
@@ -227,7 +260,7 @@
         assert self._attempt
         self._complete = True
         self._keep = self._parser.should_keep_alive() and not self._to_the_end
-        self._attempt.receiver.end(trailers)
+        self._attempt.receiver.completed(trailers)
 
     def eof_received(self) -> bool:
         if self._attempt and self._headed and self._to_the_end and not self._complete:
@@ -246,7 +279,7 @@
         if attempt is None:
             return
         # The rest of a body that nobody waited for would be read as the next request.
-        if self._keep and not self.sending and not self._paused:
+        if self._keep and self.written and not self.sending and not self._paused:
             self._servers.keep(self._server, self)
         else:
             self.drop()
@@ -260,6 +293,11 @@
         self._attempt = None
         super().drop()
 
+    def spoil(self, what: str) -> None:
+        """End the attempt as one whose answer can't be read; what follows is not read either."""
+        if self._attempt:
+            self._spoil(what)
+
     def _spoil(self, what: str) -> None:
         log.warning("server %s: %s", self._server.dial, what)
         self._fail(Status.ERROR)
