An upgrade hands state and client connections to the next process over a local socket

Need: ceilings, quotas, cold servers' ramps, Req-Ids and what was learned have to hold over both processes; until now the new one began from nothing and kept connections ended one by one.

Change: handover/ writes and checks a versioned document, part by part (free of I/O), halves what both could grant, and joins by each one's own draws; a SEQPACKET socket in TMPDIR carries documents and connections; only with GW_SOCKET_FD. A new process that ends early gives its half back; a torn, foreign or missing document is told and the start goes on. Found by the tests: with long deadlines the time to pass connections on was negative; after a killed heir the socket's name was dead.

Tests: a ceiling at every interleaving, fails without the halves; spoilt documents; two upgrades in a row; either process killed; a request and an upload across SIGTERM.

--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -14,10 +14,13 @@
 import uvloop
 
 from basaltpoint.config.address import ConfigError, inherited
+from basaltpoint.daemon.succession import Succession, inherit
 from basaltpoint.fronts.control.console import Console
 from basaltpoint.fronts.platform import config as configuration
 from basaltpoint.fronts.platform.clients import Clients
 from basaltpoint.fronts.platform.limiter import MARGIN, SERVER_PART, Limiter
+from basaltpoint.handover import state
+from basaltpoint.handover.link import claim, place
 from basaltpoint.membership.discovery import Watch
 from basaltpoint.membership.patience import Patience
 
@@ -68,7 +71,9 @@
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    limiter = Limiter(config)
+    path = place(os.environ.get("TMPDIR"), config.name) if held else None
+    found = claim(path) if path else None
+    limiter = Limiter(config, inherit(found[1]) if found else None)
     most = int((config.sockets - MARGIN) * (1 - SERVER_PART))
     clients = Clients(limiter, config.settings, config.listen, most, config.body_bytes, held)
     rng = random.Random(config.seed ^ SEED)
@@ -76,16 +81,23 @@
     watch.seq = limiter.known_seq
     loop.add_signal_handler(signal.SIGHUP, _reload, watch)
     tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
+    succession = Succession(limiter, clients, path, found[0] if found else None) if path else None
+    if found:
+        clients.part = state.HALF
     clients.listen()
     console = _console(config, limiter, clients)
     log.info("%s listens at %s:%d", config.name, *clients.address)
     await stop.wait()
     log.info("draining")
+    if succession:
+        await succession.hand_over()
     await clients.drain()
     for task in tasks:
         task.cancel()
     if console:
         console.close()
+    if succession:
+        succession.close()
     limiter.close()
 
 
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -9,6 +9,7 @@
 import re
 import socket
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from time import monotonic
 from typing import cast
@@ -311,6 +312,21 @@
         if self._transport:
             self._transport.abort()
 
+    def pass_on(self, send: Callable[[int], bool]) -> bool:
+        """Give the connection, between two requests, to another process; False where that can't be now."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or not self.idle or self._paused:
+            return False
+        if transport.get_write_buffer_size():
+            return False
+        transport.pause_reading()  # what comes from now on is the other's to read
+        if not send(transport.get_extra_info("socket").fileno()):
+            transport.resume_reading()
+            return False
+        self._deaf = True
+        transport.abort()  # closes this end's descriptor; the connection lives on in the other's
+        return True
+
     def cut(self) -> None:
         """Close without waiting for a sender that is still at it, once what is due is answered."""
         if self._transport and not self._calls:
@@ -552,6 +568,7 @@
             self._end()
         elif self.idle and not self._deaf:
             self._clients.idle[self] = None
+            self._clients.passes(self)
 
     def _passed_on(self, call: Call) -> list[bytes]:
         """What there is by now of an answer that is passed on, framed for this client."""
@@ -606,14 +623,19 @@
         self.draining = False  # a front shall bring nobody new
         self.closing = False  # each connection ends behind its answer
         self._stays_s = stays_s(settings)
+        longest = max(cls.deadline_ms for cls in settings.classes) / 1000
+        self._kill_s = min(KILL_MOST_S, longest) + KILL_S  # after SIGTERM, at the earliest
         self.idle: dict[_Client, None] = {}  # between requests, the longest idle first
         self.coming: dict[_Client, None] = {}  # with a request coming in, the longest so first
         self._open: set[_Client] = set()
         self._joining: set[asyncio.Task[None]] = set()
         self._most = most
+        self.part = 1.0  # of the connections allowed, while another process has the rest
+        self._pass: Callable[[int], bool] | None = None  # gives a connection to the next process
         self._most_bytes = most_bytes
         self._bytes = 0  # of bodies that come in or wait for their answer
         self._last_accept = 0.0
+        self._drained_at = 0.0  # when the drain began
         self._accepting = False
         self._held = held is not None
         self._listener = held or listener(address, backlog=1024)
@@ -630,7 +652,7 @@
         Clients are bound in connections, too: a crowd that asks once over each and keeps it finds no room for
         its next requests. It costs those that would have asked again a connection each.
         """
-        return not self.closing and len(self._open) <= self._most * CROWDED
+        return not self.closing and len(self._open) <= self._most * self.part * CROWDED
 
     @property
     def ready(self) -> bool:
@@ -657,7 +679,7 @@
 
     def _accept(self) -> None:
         for _ in range(ACCEPTS):
-            if len(self._open) >= self._most and not self._make_room():
+            if len(self._open) >= self._most * self.part and not self._make_room():
                 self._rest(ACCEPT_AGAIN_S)
                 return
             try:
@@ -672,12 +694,17 @@
                 self._rest(ACCEPT_AGAIN_S)
                 return
             self._last_accept = monotonic()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = _Client(self)
-            self._open.add(client)
-            task = asyncio.get_running_loop().create_task(self._join(client, sock))
-            self._joining.add(task)
-            task.add_done_callback(self._joining.discard)
+            self.adopt(sock)
+
+    def adopt(self, sock: socket.socket) -> None:
+        """Serve a connection that was accepted, here or by another process."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = _Client(self)
+        self._open.add(client)
+        task = asyncio.get_running_loop().create_task(self._join(client, sock))
+        self._joining.add(task)
+        task.add_done_callback(self._joining.discard)
 
     async def _join(self, client: _Client, sock: socket.socket) -> None:
         try:
@@ -737,9 +764,25 @@
             log.warning("a client has stopped reading its answer")
             client.abort()
 
+    def passes(self, client: _Client) -> None:
+        """Give a connection that has fallen idle to the next process, where there is one."""
+        if self._pass and client.pass_on(self._pass):
+            self.idle.pop(client, None)
+
+    async def hand_over(self, send: Callable[[int], bool]) -> None:
+        """Give every connection to the next process as it falls idle, until time is up."""
+        self.draining, self._pass = True, send
+        self._drained_at = monotonic()
+        end = self._drained_at + self._kill_s - SPARE_S
+        while (self._open or self._joining) and monotonic() < end:
+            for client in list(self.idle):
+                self.passes(client)
+            await asyncio.sleep(0.01)
+        self._pass = None
+
     async def drain(self) -> None:
         """Finish what was taken: listen while connections still come, then until all is answered."""
-        start = monotonic()
+        start = self._drained_at or monotonic()
         self.draining = True
         if self._held:
             # What waits in the platform's socket is the next process's. A client leaves behind an answer.
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -8,9 +8,11 @@
 import logging
 import math
 import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from time import monotonic
+from typing import Any
 from zlib import crc32
 
 from basaltpoint import interface as api
@@ -18,8 +20,10 @@
 from basaltpoint.fronts.platform.config import Config
 from basaltpoint.fronts.platform.passage import Call, Passage
 from basaltpoint.fronts.shell import EPOCH_MS, Shell
+from basaltpoint.handover import state
+from basaltpoint.handover.document import Estate, put
 from basaltpoint.interface import ServerState
-from basaltpoint.membership.discovery import Host, HostList, parse_list
+from basaltpoint.membership.discovery import Host, HostList, host_form, parse_list
 from basaltpoint.policy import Gateway
 from basaltpoint.telemetry.figures import Figures, Gauges
 from basaltpoint.upstream.servers import Answer, Servers
@@ -63,31 +67,77 @@
 class Limiter(Shell):
     """Holds the request table, the sockets' side of each request, and the clock."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, estate: Estate | None = None) -> None:
+        """`estate`: what an older process of this limiter has left."""
         self._settings = config.settings
         self.gateway = Gateway(config.settings, config.seed)
         self.figures = Figures([cls.name for cls in config.settings.classes])
         super().__init__(Table(self.gateway, config.settings.max_attempts, config.max_open, self.figures))
+        self._origin = estate.origin_s if estate else self._origin  # what is left tells its times
         # One offset for good: converted afresh each time, a start would seem to move and be a restart.
-        self._wall_ms = EPOCH_MS - time.time() * 1000
+        self._wall_ms = estate.wall_ms if estate else EPOCH_MS - time.time() * 1000
         most = int((config.sockets - MARGIN) * SERVER_PART)
         self._servers = Servers(most, config.connect_s, config.reuse_s, connection)
-        self._numbers: dict[str, int] = {}  # of the servers that are not gone
-        self._next_number = itertools.count()  # never used again: outcomes may come after the end
+        self._numbers = dict(estate.numbers) if estate else {}  # of the servers that are not gone
+        # Never used again: outcomes may come after the end.
+        self._next_number = itertools.count(max(self._numbers.values(), default=-1) + 1)
+        self._hosts: dict[str, Host] = {}  # as last told
         self._zones = {zone: number for number, zone in enumerate(config.zones)}
         self._passages: dict[int, Passage] = {}  # of the requests that wait for their reply
         self._attempts: dict[int, WholeAttempt] = {}  # the one that is out, by request
+        self.on_ended: Callable[[bytes], None] | None = None  # hears the name of each request that ends
+        self._reserved: set[bytes] = set()  # Req-Ids that the older process has in hand
         self.known_seq = 0
-        self._known(config)
+        known = (estate and self._known(estate.servers)) or self._known(config.known)
+        if not known:
+            log.warning("no usable list of servers known")
+        if estate:
+            self._inherit(estate)
 
-    def _known(self, config: Config) -> None:
+    def _known(self, raw: Any) -> bool:
         try:
-            told = parse_list(config.known)[0]
+            told = parse_list(raw)[0]
         except ValueError as error:
-            log.warning("no usable list of servers known: %s", error)
-            return
+            log.warning("a list of servers can't be read: %s", error)
+            return False
         self.known_seq = told.seq
         self._list(told, api.ListKind.CACHED)
+        return True
+
+    # --- Two processes of one limiter ----------------------------------------------------------
+    def _inherit(self, estate: Estate) -> None:
+        now = self.now()
+        for what in put(self.gateway, estate.module, now):
+            log.warning("not taken over: %s", what)
+        self.gateway.born = now  # of a customer that is not known nothing may have been left
+        state.halve(self.gateway, now)  # as the older one did once it had written this
+        self.reserve(estate.names)
+
+    def estate(self, halved: bool) -> Estate:
+        """What the next process needs; `halved`: from here on each of the two uses half of it."""
+        now = self.now()
+        names = sorted(self.table.names - self._reserved)
+        hosts = [host_form(host) for host in self._hosts.values()]
+        servers = {"seq": self.known_seq, "whole": True, "hosts": hosts}
+        module = state.take(self.gateway, now)
+        if halved:
+            state.halve(self.gateway, now)
+        return Estate(self._origin, self._wall_ms, servers, dict(self._numbers), names, module)
+
+    def reserve(self, names: Iterable[bytes]) -> None:
+        """Requests of these names are another process's: a copy here would be a second one."""
+        fresh = set(names) - self.table.names
+        self._reserved |= fresh
+        self.table.names |= fresh
+
+    def release_name(self, name: bytes) -> None:
+        if name in self._reserved:
+            self._reserved.discard(name)
+            self.table.names.discard(name)
+
+    def unreserve(self) -> None:
+        for name in list(self._reserved):
+            self.release_name(name)
 
     # --- What clients and discovery tell -------------------------------------------------------
     @property
@@ -118,7 +168,7 @@
             EARLY_S * 1000,
             name=terms.name,
         )
-        passage = Passage(self, call, terms.cls, ticket.wait_ms)
+        passage = Passage(self, call, terms.name, terms.cls, ticket.wait_ms)
         passage.ident, effects = self.table.take(self.now(), ticket)
         self._passages[passage.ident] = passage
         self.do(effects)
@@ -150,6 +200,10 @@
         self._list(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
 
     def _list(self, told: HostList, kind: api.ListKind) -> None:
+        self.known_seq = told.seq
+        known = self._hosts if kind is api.ListKind.DELTA else {}
+        known = {**known, **{host.name: host for host in told.hosts}}
+        self._hosts = {name: host for name, host in known.items() if host.state is not ServerState.GONE}
         servers = tuple(self._server(host) for host in told.hosts)
         self.do(self.table.tell(self.now(), api.ServerList(kind, servers)))
         left = {host.name for host in told.hosts if host.state is ServerState.GONE}
@@ -190,6 +244,8 @@
             case Reply():
                 if passage := self._passages.pop(effect.request, None):
                     passage.reply(effect)
+                    if self.on_ended:
+                        self.on_ended(passage.name)
             case Withdraw():
                 if attempt := self._attempts.get(effect.request):
                     attempt.cancel()
--- a/basaltpoint/fronts/platform/passage.py
+++ b/basaltpoint/fronts/platform/passage.py
@@ -65,6 +65,7 @@
         "call",
         "cls",
         "ident",
+        "name",
         "number",
         "over",
         "passing",
@@ -73,9 +74,10 @@
         "wait_ms",
     )
 
-    def __init__(self, desk: Desk, call: Call, cls: int, wait_ms: float) -> None:
+    def __init__(self, desk: Desk, call: Call, name: bytes, cls: int, wait_ms: float) -> None:
         self._desk = desk
         self.call = call
+        self.name = name
         self.cls = cls
         self.wait_ms = wait_ms  # for the answer, from the last byte of the body on
         self.ident = 0
--- /dev/null
+++ b/basaltpoint/handover/document.py
@@ -0,0 +1,115 @@
+"""What one process leaves to the next: a versioned, checked document; no I/O.
+
+Every part is read for itself: one that is missing, foreign or out of range is left out and told, and the
+limiter starts without it, as it would from nothing.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from basaltpoint.handover import state
+from basaltpoint.policy import Gateway
+
+VERSION = 1  # another one is not read: what its numbers mean is not known
+
+
+class DocumentError(ValueError):
+    """A document, or a part of one, that can't be taken over; says which and why."""
+
+
+@dataclass(slots=True)
+class Estate:
+    """What is left, as it was read.
+
+    `origin_s`: where the module's clock started, on the machine's monotonic clock. `wall_ms`: the module's
+    time less Unix time. `servers`: the last list, in discovery's form. `numbers`: the servers' numbers in the
+    module. `names`: Req-Ids that the other process has in hand.
+    """
+
+    origin_s: float
+    wall_ms: float
+    servers: dict[str, Any]
+    numbers: dict[str, int]
+    names: list[bytes] = field(default_factory=list)
+    module: dict[str, Any] = field(default_factory=dict)
+
+
+def write(estate: Estate) -> bytes:
+    return json.dumps(
+        {
+            "version": VERSION,
+            "origin_s": estate.origin_s,
+            "wall_ms": estate.wall_ms,
+            "servers": estate.servers,
+            "numbers": estate.numbers,
+            "names": [name.decode("latin-1") for name in estate.names],
+            "module": estate.module,
+        }
+    ).encode()
+
+
+def read(text: bytes, now_s: float) -> Estate:
+    """The document at `now_s` of the monotonic clock; DocumentError where it can't be taken over at all."""
+    try:
+        raw = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError(f"the document can't be read: {error}") from None
+    if not isinstance(raw, dict) or raw.get("version") != VERSION:
+        told = raw.get("version") if isinstance(raw, dict) else raw
+        raise DocumentError(f"version {str(told)[:40]!r}, where {VERSION} is known")
+    origin, wall = _finite(raw.get("origin_s")), _finite(raw.get("wall_ms"))
+    if origin is None or wall is None or not 0.0 <= origin <= now_s:
+        raise DocumentError(f"origin_s {raw.get('origin_s')!r} is not a time before {now_s!r}")
+    servers, numbers, names = raw.get("servers"), raw.get("numbers"), raw.get("names", [])
+    if not isinstance(servers, dict) or not isinstance(numbers, dict):
+        raise DocumentError("servers or numbers is missing")
+    if not all(isinstance(n, int) and not isinstance(n, bool) and n >= 0 for n in numbers.values()):
+        raise DocumentError("numbers holds something else")
+    if len(set(numbers.values())) < len(numbers):
+        raise DocumentError("numbers holds one twice")
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise DocumentError("names is no list of Req-Ids")
+    module = raw.get("module", {})
+    return Estate(
+        origin,
+        wall,
+        servers,
+        numbers,
+        [name.encode("latin-1", "replace") for name in names],
+        module if isinstance(module, dict) else {},
+    )
+
+
+def _finite(value: Any) -> float | None:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        return None
+    return float(value)
+
+
+def put(gateway: Gateway, module: dict[str, Any], now: float) -> Iterator[str]:
+    """Take the module's parts over, each for itself; yields what could not be."""
+    parts: tuple[tuple[str, Callable[[Gateway, Any, float], None]], ...] = (
+        ("clock", state.put_clock),
+        ("waits", state.put_waits),
+        ("pools", state.put_pools),
+        ("servers", state.put_servers),
+    )
+    for name, taker in parts:
+        try:
+            taker(gateway, module[name], now)
+        except (KeyError, TypeError, ValueError, IndexError, OverflowError) as error:
+            yield f"{name}: {error!r}"
+    bad = 0
+    rows = module.get("customers")
+    for row in rows if isinstance(rows, list) else ():
+        try:
+            state.put_customer(gateway, row, now)
+        except (KeyError, TypeError, ValueError, IndexError, OverflowError):
+            bad += 1
+    if bad:
+        yield f"customers: {bad} of {len(rows or ())} could not be read"
--- /dev/null
+++ b/basaltpoint/handover/link.py
@@ -0,0 +1,197 @@
+"""The local socket between the two processes of an upgrade: documents and client connections pass over it.
+
+A thin shell: what is in a document, and who may do what meanwhile, is decided elsewhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+log = logging.getLogger(__name__)
+
+PIECE = 48 * 1024  # bytes of a document in one message; the system takes some 200 KB at a time
+LARGEST = 64 << 20  # bytes of a document; a million accounts would not pass, and more is no state of ours
+ANSWER_S = 1.0  # for the older process's document; the start goes on without it
+LONGEST_PATH = 100  # bytes; what the system takes for a local socket's name
+MORE, DOCUMENT, CONNECTION, ENDED = b"m", b"d", b"c", b"e"
+
+
+def place(folder: str | None, name: str) -> str | None:
+    """Where a limiter of that name can be reached by its next process; None where it can't."""
+    if not folder:
+        return None
+    safe = "".join(c if c.isalnum() or c in "-_." else "_" for c in name)
+    path = os.path.join(folder, f"basaltpoint.{safe}.handover")
+    if len(os.fsencode(path)) > LONGEST_PATH:
+        log.warning("no handover: the path %s is too long for a local socket", path)
+        return None
+    return path
+
+
+def claim(path: str) -> tuple[socket.socket, bytes] | None:
+    """Ask the older process what it knows: the connection to it and its document; None where none answers."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    try:
+        sock.settimeout(ANSWER_S)
+        sock.connect(path)
+        parts, size, end = [], 0, time.monotonic() + ANSWER_S
+        while time.monotonic() < end and size <= LARGEST:
+            message = sock.recv(PIECE + 1)
+            if message[:1] not in (MORE, DOCUMENT):
+                raise OSError("it ended in the middle" if not message else "it speaks another language")
+            parts.append(message[1:])
+            size += len(message)
+            if message[:1] == DOCUMENT:
+                sock.setblocking(False)
+                return sock, b"".join(parts)
+        raise OSError("its document did not come whole in time")
+    except FileNotFoundError:
+        pass  # the first of its name
+    except OSError as error:
+        log.warning("nothing is taken over from an older process: %s", error)
+    sock.close()
+    return None
+
+
+class Side(Protocol):
+    """What a process does with what the other one sends."""
+
+    def told(self, document: bytes) -> None:
+        """The other one's last document."""
+
+    def adopt(self, sock: socket.socket) -> None:
+        """A client's connection, between two requests."""
+
+    def ended(self, name: bytes) -> None:
+        """A request that the other one had in hand is answered."""
+
+    def parted(self) -> None:
+        """The other one has gone."""
+
+
+class Link:
+    """One end of the connection between two processes."""
+
+    def __init__(self, sock: socket.socket, side: Side) -> None:
+        self._sock = sock
+        self._side = side
+        self._parts: list[bytes] = []
+        self._queue: deque[bytes] = deque()
+        self.open = True
+        asyncio.get_running_loop().add_reader(sock, self._read)
+
+    def document(self, text: bytes) -> None:
+        pieces = [text[at : at + PIECE] for at in range(0, len(text), PIECE)] or [b""]
+        self._queue += [MORE + piece for piece in pieces[:-1]]
+        self._queue.append(DOCUMENT + pieces[-1])
+        self._flush()
+
+    def ended(self, name: bytes) -> None:
+        self._queue.append(ENDED + name[:PIECE])
+        self._flush()
+
+    def connection(self, descriptor: int) -> bool:
+        """Pass a connection on; False where that is not possible now."""
+        if not self.open or self._queue:
+            return False
+        try:
+            socket.send_fds(self._sock, [CONNECTION], [descriptor])
+        except OSError:
+            return False
+        return True
+
+    @property
+    def flushed(self) -> bool:
+        return not self._queue or not self.open
+
+    def _flush(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while self._queue and self.open:
+                self._sock.send(self._queue[0])
+                self._queue.popleft()
+        except BlockingIOError:
+            loop.add_writer(self._sock, self._flush)
+            return
+        except OSError:
+            self.close()
+            return
+        if self.open:
+            loop.remove_writer(self._sock)
+
+    def _read(self) -> None:
+        while self.open:
+            try:
+                message, descriptors, _, _ = socket.recv_fds(self._sock, PIECE + 1, 4)
+            except BlockingIOError:
+                return
+            except OSError:
+                message, descriptors = b"", []
+            if not message:
+                self.close()
+                return
+            socks = [socket.socket(fileno=number) for number in descriptors]
+            kind, text = message[:1], message[1:]
+            if kind == CONNECTION:
+                while socks:
+                    self._side.adopt(socks.pop())
+            elif kind in (MORE, DOCUMENT):
+                self._parts.append(text)
+                if kind == DOCUMENT:
+                    whole, self._parts = b"".join(self._parts), []
+                    self._side.told(whole)
+            elif kind == ENDED:
+                self._side.ended(text)
+            for sock in socks:  # with a message that carries none
+                sock.close()
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._sock)
+            loop.remove_writer(self._sock)
+            self._sock.close()
+            self._side.parted()
+
+
+class Door:
+    """Where the next process knocks."""
+
+    def __init__(self, path: str, on_heir: Callable[[socket.socket], None]) -> None:
+        """The name is taken over from an older process; OSError where that can't be."""
+        self._path = path
+        self._on_heir = on_heir
+        self._listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            own = f"{path}.{os.getpid()}"
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(own)
+            self._listener.bind(own)
+            self._listener.listen(4)
+            os.rename(own, path)
+        except OSError:
+            self._listener.close()
+            raise
+        self._listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        self._on_heir(sock)
+
+    def close(self) -> None:
+        asyncio.get_running_loop().remove_reader(self._listener)
+        self._listener.close()  # the name stays: it may be the next one's by now
--- a/basaltpoint/membership/discovery.py
+++ b/basaltpoint/membership/discovery.py
@@ -70,6 +70,20 @@
     )
 
 
+def host_form(host: Host) -> dict[str, Any]:
+    """An entry as discovery writes it."""
+    address = f"[{host.dial[0]}]" if ":" in host.dial[0] else host.dial[0]
+    return {
+        "host": host.name,
+        "dial": f"{address}:{host.dial[1]}",
+        "site": host.zone,
+        "block": host.cell,
+        "health": next(name for name, state in STATES.items() if state is host.state),
+        "share": host.rating,
+        "born_ms": host.born_ms,
+    }
+
+
 def parse_list(raw: Any) -> tuple[HostList, bool]:
     """A list and whether all of it could be read; ValueError where it is none at all.
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -17,6 +17,7 @@
     ("daemon",),
     ("fronts.platform", "fronts.http", "fronts.control"),
     ("fronts.shell",),
+    ("handover",),
     ("sim",),
     ("importers", "load", "verify", "standins"),
     ("upstream",),
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,465 @@
+"""Two processes of one limiter: what passes between them, and what neither may grant twice."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from sockets import (
+    SETTINGS,
+    Backend,
+    Client,
+    Request,
+    backend,
+    host,
+    listing,
+    message,
+    run,
+    until,
+    unused_address,
+)
+
+from basaltpoint import interface as api
+from basaltpoint.config.settings import parse_settings
+from basaltpoint.handover import document, state
+from basaltpoint.handover.document import DocumentError, Estate
+from basaltpoint.handover.link import claim, place
+from basaltpoint.policy import Gateway
+
+ROOT = Path(__file__).parent.parent
+CEILED = {
+    **SETTINGS,
+    "contracts": [
+        {
+            "name": "basic",
+            "rate": 1000.0,
+            "mostAtOnce": 2000.0,
+            "ceiling": {"rate": 10.0, "mostAtOnce": 20.0, "slack": 0.0},
+        }
+    ],
+}
+
+
+def plan(rate: float = 5.0, burst: float = 10.0) -> api.Plan:
+    return api.Plan(rate, burst, ceiling_rate=rate, ceiling_depth=burst, name="basic")
+
+
+def gateway(seed: int = 1, **changes: Any) -> Gateway:
+    made = parse_settings(json.dumps(SETTINGS).encode())
+    from dataclasses import replace
+
+    return Gateway(replace(made, plans=(plan(),), **changes), seed)
+
+
+def peers(one: Gateway, now: float, started: float = 0.0) -> None:
+    ready = tuple(api.Server(n, 0, 0, api.ServerState.READY, 1.0, started) for n in range(3))
+    one.handle(now, api.ServerList(api.ListKind.FULL, ready))
+
+
+def ask(one: Gateway, now: float, ident: int, customer: int = 7) -> bool:
+    """Whether a request of one unit is sent on; it is answered at once."""
+    actions = one.handle(now, api.Arrival(ident, 2, 0, customer, 1.0, 1, now + 1000.0))
+    sent = [action for action in actions if isinstance(action, api.Send)]
+    for action in sent:
+        one.handle(now, api.Outcome(ident, 0, action.server, api.Status.OK, 1.0, True))
+    return bool(sent)
+
+
+def passed(old: Gateway, new: Gateway, now: float) -> None:
+    """What the newer process takes over when it starts, over JSON as between processes."""
+    module = json.loads(json.dumps(state.take(old, now)))
+    state.halve(old, now)
+    assert list(document.put(new, module, now)) == []
+    new.born = now
+    state.halve(new, now)
+
+
+def finish(old: Gateway, new: Gateway, now: float, since: float) -> None:
+    rows = json.loads(json.dumps(state.take(old, now)))["customers"]
+    state.whole(new, now)
+    assert state.join(new, rows, now, since) == 0
+
+
+@given(st.integers(0, 2**32))
+@settings(max_examples=40, deadline=None)
+def test_one_account_at_its_ceiling_gets_no_unit_twice_across_an_upgrade(seed: int) -> None:
+    """Whatever either process is asked, and when: both together stay within rate and depth."""
+    rng = random.Random(seed)
+    old, new = gateway(1), gateway(2)
+    now = 1e9
+    peers(old, now)
+    peers(new, now)
+    now += 10_000.0
+    begin, sent = now, 0
+    steps = [rng.uniform(5, 60) for _ in range(200)]
+    started, joined = rng.randrange(20, 90), rng.randrange(90, 160)
+    since = 0.0
+    for n, step in enumerate(steps):
+        now += step
+        if n == started:
+            passed(old, new, now)
+            since = now
+        if n == joined:
+            finish(old, new, now, since)
+        one = old if n < started else new if n >= joined else rng.choice([old, new])
+        sent += ask(one, now, n + 1)
+        assert sent <= 10.0 + 5.0 * (now - begin) / 1000.0 + 1e-6
+    # Nor is much lost: what the ceiling allows is used by an account that always asks.
+    assert sent >= 0.6 * (5.0 * (now - begin) / 1000.0)
+
+
+def test_without_the_halves_both_would_grant_the_same_units() -> None:
+    """What the halves are for: the same two processes, each with all of it, send on more than the ceiling."""
+    old, new = gateway(1), gateway(2)
+    peers(old, 1e9)
+    peers(new, 1e9)
+    now = 1e9 + 10_000.0
+    module = json.loads(json.dumps(state.take(old, now)))
+    ask(old, now, 1)
+    module = json.loads(json.dumps(state.take(old, now)))
+    list(document.put(new, module, now))
+    assert sum(ask(one, now, n) for one in (old, new) for n in range(2, 30)) > 10
+    old, new = gateway(1), gateway(2)
+    peers(old, 1e9)
+    peers(new, 1e9)
+    ask(old, now, 1)
+    passed(old, new, now)
+    assert sum(ask(one, now, n) for one in (old, new) for n in range(2, 30)) <= 9
+
+
+def test_a_newer_process_that_ends_gives_its_half_back() -> None:
+    old = gateway()
+    peers(old, 1e9)
+    now = 1e9 + 10_000.0
+    ask(old, now, 1)
+    state.halve(old, now)
+    state.whole(old, now)
+    assert sum(ask(old, now, n) for n in range(2, 30)) <= 9  # what the other may have drawn stays drawn
+    now += 10_000.0
+    assert sum(ask(old, now, n) for n in range(30, 60)) == 10
+
+
+def test_a_cold_servers_ramp_passes_over() -> None:
+    """What it may be sent is neither granted anew nor earned twice."""
+    old, new = gateway(1), gateway(2)
+    for one in (old, new):
+        peers(one, 1e9, started=1e9)
+        one.handle(1e9, api.Checked(0, True))
+    for n in range(3):
+        old.pools[0].fleet.peers[n].allowance = 0.9
+        old.pools[0].fleet.peers[n].health.suspect = n == 1
+    passed(old, new, 1e9 + 1.0)
+    for n in range(3):
+        one, two = (each.pools[0].fleet.peers[n] for each in (old, new))
+        assert one.allowance + two.allowance == pytest.approx(0.9)
+        assert two.health.suspect is (n == 1)
+    assert new.pools[0].fleet.suspects == {1}
+
+
+def estate(**changes: Any) -> bytes:
+    raw = {
+        "version": 1,
+        "origin_s": 5.0,
+        "wall_ms": 1.0,
+        "servers": {},
+        "numbers": {"a": 0},
+        "names": ["x"],
+        "module": {},
+    }
+    return json.dumps({**raw, **changes}).encode()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"\xff" * 40,
+        b"[" * 100_000,
+        estate(version=2),
+        estate(version=None),
+        estate(origin_s=50.0),
+        estate(origin_s="5"),
+        estate(origin_s=float("nan")),
+        estate(wall_ms=None),
+        estate(servers=[]),
+        estate(numbers={"a": 1, "b": 1}),
+        estate(numbers={"a": True}),
+        estate(names=[7]),
+        estate()[:-7],
+    ],
+)
+def test_a_torn_stale_or_foreign_document_is_told_and_left(text: bytes) -> None:
+    with pytest.raises(DocumentError):
+        document.read(text, 10.0)
+    assert isinstance(document.read(estate(), 10.0), Estate)
+
+
+@given(st.data())
+@settings(max_examples=60, deadline=None)
+def test_a_part_that_is_spoilt_is_left_out_and_the_others_stand(data: st.DataObject) -> None:
+    """Whatever stands in one place, the rest is taken over and the module goes on."""
+    old, new = gateway(1), gateway(2)
+    for one in (old, new):
+        peers(one, 1e9)
+    now = 1e9 + 10_000.0
+    ask(old, now, 1, customer=7)
+    ask(old, now, 2, customer=8)
+    module = json.loads(json.dumps(state.take(old, now)))
+    spots = [(part, key) for part in ("clock", "waits") for key in module[part]]
+    spots += [(part, 0, key) for part in ("pools", "servers", "customers") for key in module[part][0]]
+    *way, last = data.draw(st.sampled_from(spots))
+    place_ = module
+    for step in way:
+        place_ = place_[step]
+    place_[last] = data.draw(st.sampled_from([None, "x", [], {}, -1e300, 1e300, [[1]], True]))
+    list(document.put(new, module, now))
+    assert 8 in new.customers
+    assert all(isinstance(ask(new, now + n, 10 + n, 7), bool) for n in range(3))
+
+
+def test_a_path_that_the_system_would_not_take(tmp_path: Path) -> None:
+    assert place(None, "n0") is None
+    assert place(str(tmp_path / ("x" * 120)), "n0") is None
+    assert place("/run", "../n 0") == "/run/basaltpoint..._n_0.handover"
+
+
+def test_a_silent_or_strange_older_process_does_not_hold_up_a_start(tmp_path: Path) -> None:
+    path = str(tmp_path / "strange")
+    assert claim(path) is None
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener:
+        listener.bind(path)
+        listener.listen()
+        listener.settimeout(5)
+        other, _ = (None, None)
+        import threading
+
+        def answer() -> None:
+            sock, _ = listener.accept()
+            sock.send(b"zwhat is this")
+            sock.close()
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        assert claim(path) is None
+        thread.join()
+        assert other is None
+
+
+# --- Processes -----------------------------------------------------------------------------------
+class Process:
+    """One process of the limiter on the shared listening socket."""
+
+    def __init__(self, process: asyncio.subprocess.Process, control: str, log: Path) -> None:
+        self.process = process
+        self.control = control
+        self.log = log
+
+    async def call(self, line: str) -> list[str]:
+        name, port = self.control.split(":")
+        with contextlib.suppress(ConnectionError):
+            reader, writer = await asyncio.open_connection(name, int(port))
+            writer.write(line.encode() + b"\n")
+            answer = (await reader.read()).decode().splitlines()
+            writer.close()
+            return answer
+        return ["fail no connection"]
+
+    async def yes(self) -> None:
+        while (await self.call("readyz"))[0] != "ok":
+            await asyncio.sleep(0.01)
+
+    async def sends(self) -> int:
+        return sum(int(line.split()[-1]) for line in await self.call("telemetry") if "gw_sends" in line)
+
+    async def end(self, number: signal.Signals = signal.SIGTERM) -> int:
+        self.process.send_signal(number)
+        return await self.process.wait()
+
+
+class Platform:
+    """Holds the clients' socket and starts processes on it, as the platform does."""
+
+    def __init__(self, path: Path, server: Backend) -> None:
+        self.path = path
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        self.raw = {
+            "name": "n3",
+            "listen": "{}:{}".format(*self.address),
+            "discovery": unused_address(),
+            "seed": "8c1f",
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": listing(1, host("a", server.address)),
+            "settings": SETTINGS,
+        }
+        self.started: list[Process] = []
+
+    async def start(self) -> Process:
+        number = len(self.started)
+        control, file = unused_address(), self.path / "config.json"
+        file.write_text(json.dumps(self.raw))
+        log = self.path / f"log{number}"
+        environ = {
+            **os.environ,
+            "GW_CONFIG": str(file),
+            "GW_CONTROL": control,
+            "GW_SOCKET_FD": str(self.listener.fileno()),
+            "TMPDIR": str(self.path),
+        }
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "basaltpoint",
+            cwd=ROOT,
+            env=environ,
+            pass_fds=[self.listener.fileno()],
+            stderr=log.open("wb"),
+        )
+        made = Process(process, control, log)
+        self.started.append(made)
+        await made.yes()
+        return made
+
+    async def connect(self) -> Client:
+        return Client(*await asyncio.open_connection(*self.address))
+
+
+@contextlib.asynccontextmanager
+async def platform(server: Backend) -> AsyncIterator[Platform]:
+    import tempfile
+
+    with tempfile.TemporaryDirectory(dir="/tmp") as folder:  # pytest's own paths may be too long
+        made = Platform(Path(folder), server)
+        try:
+            yield made
+        finally:
+            for one in made.started:
+                with contextlib.suppress(ProcessLookupError):
+                    one.process.kill()
+                await one.process.wait()
+            made.listener.close()
+
+
+async def echo(request: Request) -> None:
+    request.reply(body=request.headers["req-id"].encode())
+
+
+def test_connections_pass_to_the_next_process_twice_in_a_row() -> None:
+    """Kept ones are served on without a break, by the newest; the older ones leave early and cleanly."""
+
+    async def test() -> None:
+        async with backend(echo) as server, platform(server) as run_on:
+            old = await run_on.start()
+            clients = [await run_on.connect() for _ in range(20)]
+            for n, client in enumerate(clients):
+                assert (await client.ask(message("fix", f"a-{n}"))).body == f"a-{n}".encode()
+            for turn in range(2):
+                new = await run_on.start()
+                assert await old.end() == 0
+                for n, client in enumerate(clients):
+                    answer = await client.ask(message("fix", f"b-{turn}-{n}"))
+                    assert answer.body == f"b-{turn}-{n}".encode()
+                assert await new.sends() == 20
+                assert "took over from the older process" in new.log.read_text()
+                old = new
+
+    run(test())
+
+
+def test_a_request_in_hand_is_answered_by_the_old_process_and_no_copy_gets_through() -> None:
+    async def test() -> None:
+        async with backend() as server, platform(server) as run_on:
+            old = await run_on.start()
+            client = await run_on.connect()
+            client.send(message("fix", "held"))
+            held = await server.arrived.get()
+            new = await run_on.start()
+            ending = asyncio.create_task(old.end())
+            await until(lambda: "took over from the older process, which has 1" in new.log.read_text())
+            other = await run_on.connect()
+            assert (await other.ask(message("fix", "held"))).code == 409  # the other process has it out
+            await echo(held)
+            assert (await client.answer()).body == b"held"
+            assert await ending == 0
+            server.script = echo
+            assert (await client.ask(message("fix", "next"))).body == b"next"  # on the same connection
+            assert len(server.requests) == 2
+
+    run(test())
+
+
+def test_the_new_process_killed_before_its_predecessor_is_told_to_go() -> None:
+    async def test() -> None:
+        async with backend(echo) as server, platform(server) as run_on:
+            old = await run_on.start()
+            client = await run_on.connect()
+            assert (await client.ask(message("fix", "one"))).code == 200
+            new = await run_on.start()
+            await new.end(signal.SIGKILL)
+            await until(lambda: "this one goes on alone" in old.log.read_text())
+            assert (await client.ask(message("fix", "two"))).code == 200
+            third = await run_on.start()
+            assert await old.end() == 0
+            assert (await client.ask(message("fix", "three"))).code == 200
+            assert await third.sends() == 1
+
+    run(test())
+
+
+def test_the_old_process_killed_during_the_overlap() -> None:
+    async def test() -> None:
+        async with backend(echo) as server, platform(server) as run_on:
+            old = await run_on.start()
+            new = await run_on.start()
+            await old.end(signal.SIGKILL)
+            await until(lambda: "ended without a last word" in new.log.read_text())
+            client = await run_on.connect()
+            assert (await client.ask(message("fix", "on"))).body == b"on"
+
+    run(test())
+
+
+def test_a_document_in_the_place_of_a_process_does_not_stop_a_start() -> None:
+    async def test() -> None:
+        async with backend(echo) as server, platform(server) as run_on:
+            (run_on.path / "basaltpoint.n3.handover").write_text("a file of another program")
+            await run_on.start()
+            client = await run_on.connect()
+            assert (await client.ask(message("fix", "on"))).body == b"on"
+            assert "nothing is taken over" in run_on.started[0].log.read_text()
+
+    run(test())
+
+
+def test_an_upload_that_crosses_the_upgrade_is_finished_where_it_began() -> None:
+    async def test() -> None:
+        async with backend() as server, platform(server) as run_on:
+            old = await run_on.start()
+            client = await run_on.connect()
+            client.send(message("upload", "long", Content_Length="300000") + b"x" * 100_000)
+            await until(lambda: server.connections == 1)
+            await run_on.start()
+            ending = asyncio.create_task(old.end())
+            await asyncio.sleep(0.05)
+            client.send(b"x" * 200_000)
+            request = await server.arrived.get()
+            assert len(request.body) == 300_000
+            request.reply(body=b"done")
+            assert (await client.answer()).body == b"done"
+            assert await ending == 0
+
+    run(test())
