A refused sender that keeps no connection has it ended behind its body

Each cost a descriptor until the client closed. The test waits for the end and hangs without the mend.

--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -437,6 +437,8 @@
             self._deaf = not upload.keep
             upload.passage.fed()
             self._pace()
+            if self._deaf and not self._calls:
+                self._end()  # its answer went out ahead of the body's end, with nothing to close behind it
             return
         # Behind a request for another protocol no further one of ours can be told.
         keep = self._parser.should_keep_alive() and not self._parser.should_upgrade()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -299,6 +299,21 @@
     run(test())
 
 
+def test_a_refused_sender_that_keeps_no_connection_has_it_ended_behind_the_body() -> None:
+    """Left open, each would hold a descriptor for good: nothing more is read from it, and it is not idle."""
+
+    async def test() -> None:
+        async with limiter() as rig:
+            client = await rig.connect()
+            client.send(message("upload", Content_Length="300000", Connection="close") + b"x" * 100_000)
+            assert (await take(client))[0] == 429
+            client.send(b"x" * 200_000)
+            await client.closed()
+            await until(lambda: not rig.clients._open)
+
+    run(test())
+
+
 def test_the_go_ahead_comes_before_a_long_body() -> None:
     async def test() -> None:
         async with raw() as server, limiter(host("a", server.address)) as rig:
