What both fronts do alike stands once: passages' times, body framing, joining sockets

Found on reading the change again; behaviour is as it was. - begun, uploading and uploaded stood in both limiters, with two constants each: they are the shell's now. - Both passages framed chunks themselves: the connection frames what it sends (StreamAnswers.upload, send, sent). - The console and the clients' side each held accepted sockets on their way into the loop: fronts/joining.py. - The time to SIGKILL was computed in two places; the class's counts three times a request; whether a body is chunked was passed in and looked up; the share of descriptors was set by the daemon and reset by the succession. hand_over told a result that nobody read. Left: relay.py and limiter.py each end servers that stand still, with other bounds. 339 tests of the fronts, servers, table and handover pass.

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -157,16 +157,14 @@
     def take(self, now: float, ticket: Ticket) -> tuple[int, list[Effect]]:
         """Take a request on; from here it gets one reply, before its client gives up."""
         self._count += 1
-        ident = self._count
+        ident, counts = self._count, self.figures.of(ticket.cls)
         if self.open >= self.max_open:
-            return ident, [_counted(self.figures.of(ticket.cls), Reply(ident, Ending.BUSY))]
+            return ident, [_counted(counts, Reply(ident, Ending.BUSY))]
         if ticket.name and ticket.name in self.names:
             # Sent on, a server would see it as a second copy of the one that is open.
-            return ident, [_counted(self.figures.of(ticket.cls), Reply(ident, Ending.TWIN))]
+            return ident, [_counted(counts, Reply(ident, Ending.TWIN))]
         deadline = now + max(ticket.wait_ms - ticket.early_ms, ticket.wait_ms / 2)
-        self.entries[ident] = Entry(
-            ticket.name, self.figures.of(ticket.cls), deadline, wait_ms=ticket.wait_ms
-        )
+        self.entries[ident] = Entry(ticket.name, counts, deadline, wait_ms=ticket.wait_ms)
         if ticket.name:
             self.names.add(ticket.name)
         self.open += 1
--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -19,7 +19,6 @@
 from basaltpoint.fronts.platform import config as configuration
 from basaltpoint.fronts.platform.clients import Clients
 from basaltpoint.fronts.platform.limiter import MARGIN, SERVER_PART, Limiter
-from basaltpoint.handover import state
 from basaltpoint.handover.link import claim, place
 from basaltpoint.membership.discovery import Watch
 from basaltpoint.membership.patience import Patience
@@ -82,8 +81,6 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, watch)
     tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
     succession = Succession(limiter, clients, path, found[0] if found else None) if path else None
-    if found:
-        clients.part = state.HALF
     clients.listen()
     console = _console(config, limiter, clients)
     log.info("%s listens at %s:%d", config.name, *clients.address)
--- a/basaltpoint/daemon/succession.py
+++ b/basaltpoint/daemon/succession.py
@@ -27,13 +27,14 @@
 
 
 class Succession:
-    """This process between the one before it and the one after it; a `Side` of both links."""
+    """This process between the one before it and the one after it."""
 
     def __init__(self, limiter: Limiter, clients: Clients, path: str, older: socket.socket | None) -> None:
         self._limiter = limiter
         self._clients = clients
         self._since = limiter.now()  # from here on own draws are not in what the older one told
         self._older = Link(older, _Older(self)) if older else None
+        clients.part = state.HALF if older else 1.0
         self._heir: Link | None = None
         self._joined = False
         self._path = path
@@ -88,11 +89,10 @@
             self._clients.part = 1.0
             state.whole(self._limiter.gateway, self._limiter.now())
 
-    async def hand_over(self) -> bool:
-        """After SIGTERM: pass state and connections to the newer one; False where there is none."""
-        heir = self._heir
-        if heir is None or not heir.open:
-            return False
+    async def hand_over(self) -> None:
+        """After SIGTERM: pass state and connections to the newer one, where there is one."""
+        if (heir := self._heir) is None:
+            return
         self._clients.stop_listening()
         heir.document(document.write(self._limiter.estate(halved=False)))
         self._limiter.on_ended = heir.ended
@@ -100,7 +100,6 @@
         end = time.monotonic() + ENOUGH_S
         while not heir.flushed and time.monotonic() < end:
             await asyncio.sleep(0.005)
-        return True
 
     def close(self) -> None:
         if self._door:
--- a/basaltpoint/fronts/control/console.py
+++ b/basaltpoint/fronts/control/console.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import logging
-import socket
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 from typing import cast
 
 from basaltpoint.config.address import Address, listener
+from basaltpoint.fronts.joining import Joining
 
 log = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
         """`calls`: what is answered to each call, line by line."""
         self._calls = calls
         self._callers: dict[_Caller, None] = {}  # the one that came first, first
-        self._joining: set[asyncio.Task[None]] = set()
+        self._joining = Joining()
         self._listener = listener(address, backlog=128)
 
     @property
@@ -108,17 +109,7 @@
                 self._cut_first()
             caller = _Caller(self)
             self._callers[caller] = None
-            task = asyncio.get_running_loop().create_task(self._join(caller, sock))
-            self._joining.add(task)
-            task.add_done_callback(self._joining.discard)
-
-    async def _join(self, caller: _Caller, sock: socket.socket) -> None:
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: caller, sock)
-        except OSError as error:
-            log.warning("an operator's call broke at its start: %s", error)
-            sock.close()
-            self.gone(caller)
+            self._joining.join(sock, caller, partial(self.gone, caller))
 
     def _cut_first(self) -> None:
         if first := next(iter(self._callers), None):
--- a/basaltpoint/fronts/http/passage.py
+++ b/basaltpoint/fronts/http/passage.py
@@ -113,16 +113,12 @@
         stream = self.stream
         if stream is not None and not self.full and stream.sending:
             pieces, self.body = self.body, []
-            size = sum(map(len, pieces))
-            if size:
-                data = b"".join(pieces)
-                stream.send(b"%x\r\n%s\r\n" % (size, data) if self.request.length is None else data)
-                self.relay.release(size)
-                self.held -= size
+            data = b"".join(pieces)
+            stream.send(data)
+            self.relay.release(len(data))
+            self.held -= len(data)
             if self.whole:
-                if self.request.length is None:
-                    stream.send(b"0\r\n" + message.trailers(self.body_trailers))
-                stream.sent()
+                stream.sent(message.trailers(self.body_trailers))
                 self.relay.uploaded(self)
         self.connection.hold_upload(self.streamed and self.held > self.relay.buffer)
 
@@ -135,7 +131,7 @@
     def connected(self, stream: StreamAnswers) -> None:
         self.stream = stream
         if self.streamed:
-            stream.sending = True
+            stream.upload(self.request.length is None)
             self.relay.uploading(self)
             self._pump()
 
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -16,7 +16,7 @@
 from basaltpoint.fronts.http.connection import ClientConnection
 from basaltpoint.fronts.http.message import BadRequestError, Changes, Headers, Origin, Outgoing, Request
 from basaltpoint.fronts.http.passage import Check, Passage
-from basaltpoint.fronts.shell import Shell
+from basaltpoint.fronts.shell import DAY_S, EARLY_MS, Shell
 from basaltpoint.interface import Effect as Repeats
 from basaltpoint.interface import ServerState, Status, Why
 from basaltpoint.membership.checks import Checks
@@ -28,8 +28,6 @@
 
 log = logging.getLogger(__name__)
 
-EARLY_MS = 10.0  # the module's deadline lies so much before the client's: the answer is on its way, too
-DAY_S = 86400.0  # stands for no limit while a body is on its way; the stall bound ends it
 MARGIN = 32  # descriptors for the listener, the loop and the log
 SERVER_PART = 0.4  # of the sockets may be connections to servers
 
@@ -173,22 +171,6 @@
         self._passages.pop(passage.ident, None)
         self.do(self.table.abandon(self.now(), passage.ident))
 
-    def begun(self, passage: Passage) -> None:
-        """Its answer's head has come and is to be passed on."""
-        self.do(self.table.begun(self.now(), passage.ident, passage.number))
-
-    def uploading(self, passage: Passage) -> None:
-        """Its body is on its way to the server."""
-        self.do(self.table.uploading(self.now(), passage.ident))
-
-    def uploaded(self, passage: Passage) -> None:
-        """Its streamed body is whole: now the deadline counts."""
-        now = self.now()
-        self.table.uploaded(now, passage.ident)
-        if passage.attempt and not passage.passing:
-            passage.attempt.rearm(self.loop_time(now + max(passage.wait_ms - EARLY_MS, passage.wait_ms / 2)))
-        self.arm()
-
     def hold(self, size: int) -> bool:
         """Account for so many bytes of bodies; False where the memory has no room for them."""
         if self._held + size > self._memory:
--- /dev/null
+++ b/basaltpoint/fronts/joining.py
@@ -0,0 +1,36 @@
+"""Accepted sockets on their way into the loop; what is not held here the loop may forget half way."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+
+log = logging.getLogger(__name__)
+
+
+class Joining:
+    """Connections that were accepted and have not met their protocol yet."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __bool__(self) -> bool:
+        return bool(self._tasks)
+
+    def join(self, sock: socket.socket, protocol: asyncio.Protocol, on_broken: Callable[[], None]) -> None:
+        """Put a protocol on a socket; `on_broken` hears where it broke before that."""
+        task = asyncio.get_running_loop().create_task(self._join(sock, protocol, on_broken))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _join(
+        self, sock: socket.socket, protocol: asyncio.Protocol, on_broken: Callable[[], None]
+    ) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
+        except OSError as error:
+            log.warning("a connection broke at its start: %s", error)
+            sock.close()
+            on_broken()
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -17,6 +17,7 @@
 import httptools
 
 from basaltpoint.config.address import Address, listener
+from basaltpoint.fronts.joining import Joining
 from basaltpoint.fronts.platform.limiter import Limiter, Terms
 from basaltpoint.fronts.platform.passage import Passage
 from basaltpoint.interface import Effect, Settings
@@ -150,14 +151,18 @@
         self._connection.release(size)
 
 
+def kill_s(settings: Settings) -> float:
+    """How long after SIGTERM SIGKILL comes at the earliest."""
+    return min(KILL_MOST_S, max(cls.deadline_ms for cls in settings.classes) / 1000) + KILL_S
+
+
 def stays_s(settings: Settings) -> float:
     """For how long after SIGTERM a request on an open connection can still be answered before SIGKILL."""
-    deadlines = [cls.deadline_ms / 1000 for cls in settings.classes]
     answered = max(
         (cls.aim_ms if cls.late_worth <= 0 and not cls.stream else cls.deadline_ms) / 1000
         for cls in settings.classes
     )
-    return min(KILL_MOST_S, max(deadlines)) + KILL_S - answered - SPARE_S
+    return kill_s(settings) - answered - SPARE_S
 
 
 class Checker:
@@ -403,13 +408,9 @@
         elif length.isdigit() and int(length[:9]) > LONGEST:
             self.reject(413)
         elif length.isdigit() and int(length) > HELD:
-            self._stream(False)
-        elif (
-            self._headers.get(b"expect", b"").lower() == b"100-continue"
-            and not self._calls
-            and self._transport
-        ):
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._stream()
+        elif self._expects and not self._calls:
+            self._go_ahead()
 
     def on_body(self, body: bytes) -> None:
         if self._deaf:
@@ -424,7 +425,7 @@
         else:
             self._body.append(body)
             if self._size > HELD:
-                self._stream(True)
+                self._stream()
 
     def on_message_complete(self) -> None:
         self.begun, self._headed, self._size = None, False, 0
@@ -440,8 +441,7 @@
             if self._deaf and not self._calls:
                 self._end()  # its answer went out ahead of the body's end, with nothing to close behind it
             return
-        # Behind a request for another protocol no further one of ours can be told.
-        keep = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        keep = self._keep
         self._deaf = not keep
         self._take(keep)
         self._pace()
@@ -473,7 +473,20 @@
             head += [b"\r\nContent-Type: ", kind]
         return b"".join([*head, b"\r\n"])
 
-    def _stream(self, chunked: bool) -> None:
+    @property
+    def _expects(self) -> bool:
+        return self._headers.get(b"expect", b"").lower() == b"100-continue"
+
+    @property
+    def _keep(self) -> bool:
+        """Whether another request may follow; behind one for another protocol none of ours can be told."""
+        return self._parser.should_keep_alive() and not self._parser.should_upgrade()
+
+    def _go_ahead(self) -> None:
+        if self._transport:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _stream(self) -> None:
         """Take a request on whose body is too long to be held; it goes on as it comes."""
         method, url = self._parser.get_method(), self._url
         try:
@@ -481,21 +494,20 @@
         except BadRequestError as error:
             self.reject(error.code)
             return
-        keep = self._parser.should_keep_alive() and not self._parser.should_upgrade()
-        framing = b"Content-Length: " + self._headers.get(b"content-length", b"0") + b"\r\n"
-        if chunked or b"transfer-encoding" in self._headers:
-            framing, chunked = b"Transfer-Encoding: chunked\r\n", True
-        call = Call(self, keep, self._forward(method, url) + framing, streamed=True, chunked=chunked)
+        length = self._headers.get(b"content-length")
+        framing = b"Content-Length: " + length if length else b"Transfer-Encoding: chunked"
+        forward = self._forward(method, url) + framing + b"\r\n"
+        call = Call(self, self._keep, forward, streamed=True, chunked=length is None)
         self._calls.append(call)
         self._upload = call
         call.passage = passage = self._clients.limiter.take(call, terms)
-        if self._headers.get(b"expect", b"").lower() == b"100-continue" and not chunked and self._transport:
+        if self._expects and length:  # where it is not told the go-ahead was given with the head
             if passage.over:
                 call.keep, self._upload = False, None  # the body may never come, or come all the same
                 self._deaf = self._rejected = True
                 self._clients.coming.pop(self, None)
             elif len(self._calls) == 1:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._go_ahead()
         pieces, self._body = self._body, []
         for piece in pieces:
             passage.feed(piece)
@@ -625,12 +637,11 @@
         self.draining = False  # a front shall bring nobody new
         self.closing = False  # each connection ends behind its answer
         self._stays_s = stays_s(settings)
-        longest = max(cls.deadline_ms for cls in settings.classes) / 1000
-        self._kill_s = min(KILL_MOST_S, longest) + KILL_S  # after SIGTERM, at the earliest
+        self._kill_s = kill_s(settings)
         self.idle: dict[_Client, None] = {}  # between requests, the longest idle first
         self.coming: dict[_Client, None] = {}  # with a request coming in, the longest so first
         self._open: set[_Client] = set()
-        self._joining: set[asyncio.Task[None]] = set()
+        self._joining = Joining()
         self._most = most
         self.part = 1.0  # of the connections allowed, while another process has the rest
         self._pass: Callable[[int], bool] | None = None  # gives a connection to the next process
@@ -704,17 +715,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client = _Client(self)
         self._open.add(client)
-        task = asyncio.get_running_loop().create_task(self._join(client, sock))
-        self._joining.add(task)
-        task.add_done_callback(self._joining.discard)
-
-    async def _join(self, client: _Client, sock: socket.socket) -> None:
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: client, sock)
-        except OSError as error:
-            log.warning("a connection broke at its start: %s", error)
-            sock.close()
-            self.gone(client)
+        self._joining.join(sock, client, lambda: self.gone(client))
 
     def _make_room(self) -> bool:
         """Close the connection that has been between requests for longest; new ones get their turn."""
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -19,7 +19,7 @@
 from basaltpoint.core.table import Begin, Dispatch, Effect, Fault, Reply, Table, Ticket, Withdraw
 from basaltpoint.fronts.platform.config import Config
 from basaltpoint.fronts.platform.passage import Call, Passage
-from basaltpoint.fronts.shell import EPOCH_MS, Shell
+from basaltpoint.fronts.shell import DAY_S, EARLY_MS, EPOCH_MS, Shell
 from basaltpoint.handover import state
 from basaltpoint.handover.document import Estate, put
 from basaltpoint.interface import ServerState
@@ -31,9 +31,7 @@
 
 log = logging.getLogger(__name__)
 
-EARLY_S = 0.010  # the module's deadline lies so much before the client's: the answer is on its way, too
 PROBE_S = 0.25
-DAY_S = 86400.0  # stands for no limit while a body is on its way; the bounds on what stands still end it
 SILENT_S = 5.0  # for a server in the middle of an answer, or of a body that it does not take
 LOAD_MOST = 10_000.0  # of any figure in a load report; no server holds or serves more
 SERVER_PART = 0.4  # of the sockets may be connections to servers
@@ -165,7 +163,7 @@
             terms.units,
             terms.doors,
             wait_s * 1000,
-            EARLY_S * 1000,
+            EARLY_MS,
             name=terms.name,
         )
         passage = Passage(self, call, terms.name, terms.cls, ticket.wait_ms)
@@ -180,22 +178,6 @@
             passage.gone()
             self.do(self.table.abandon(self.now(), passage.ident))
 
-    def begun(self, passage: Passage) -> None:
-        """Its answer's head has come, and the answer is too long to be held."""
-        self.do(self.table.begun(self.now(), passage.ident, passage.number))
-
-    def uploading(self, passage: Passage) -> None:
-        """Its body is on its way to the server: no deadline counts until it is whole."""
-        self.do(self.table.uploading(self.now(), passage.ident))
-
-    def uploaded(self, passage: Passage) -> None:
-        """Its body is whole: now the deadline counts."""
-        now, wait = self.now(), passage.wait_ms
-        self.table.uploaded(now, passage.ident)
-        if passage.attempt and not passage.passing:
-            passage.attempt.rearm(self.loop_time(now + max(wait - EARLY_S * 1000, wait / 2)))
-        self.arm()
-
     def listed(self, told: HostList) -> None:
         self._list(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
 
--- a/basaltpoint/fronts/platform/passage.py
+++ b/basaltpoint/fronts/platform/passage.py
@@ -112,14 +112,10 @@
         stream = self.stream
         if stream is not None and stream.sending and not self._full:
             pieces, self._pieces = self._pieces, []
-            if size := self._held:
-                data = b"".join(pieces)
-                self._held = 0
-                stream.send(b"%x\r\n%s\r\n" % (size, data) if self.call.chunked else data)
-                self.call.release(size)
+            size, self._held = self._held, 0
+            stream.send(b"".join(pieces))
+            self.call.release(size)
             if self._whole:
-                if self.call.chunked:
-                    stream.send(b"0\r\n\r\n")
                 self._desk.uploaded(self)
                 stream.sent()
         self.call.hold_upload(not self.over and (self._full or self._held > 0))
@@ -128,7 +124,7 @@
     def connected(self, stream: StreamAnswers) -> None:
         self.stream = stream
         if self.call.streamed:
-            stream.sending = True
+            stream.upload(self.call.chunked)
             self._desk.uploading(self)
             self._pump()
 
--- a/basaltpoint/fronts/shell.py
+++ b/basaltpoint/fronts/shell.py
@@ -5,13 +5,33 @@
 import asyncio
 import time
 from collections import deque
+from typing import Protocol
 
 from basaltpoint.core.table import Effect, Table
-from basaltpoint.upstream.servers import TIMER_S
+from basaltpoint.upstream.servers import TIMER_S, Attempt
 
 EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
 
 
+EARLY_MS = 10.0  # the module's deadline lies so much before the client's: the answer is on its way, too
+DAY_S = 86400.0  # stands for no limit while a body is on its way; the bounds on what stands still end it
+
+
+class Passing(Protocol):
+    """One request on its way, as the table is told of it."""
+
+    @property
+    def ident(self) -> int: ...
+    @property
+    def number(self) -> int: ...  # of the attempt that is out
+    @property
+    def attempt(self) -> Attempt | None: ...
+    @property
+    def passing(self) -> bool: ...  # its answer has begun to be passed on
+    @property
+    def wait_ms(self) -> float: ...
+
+
 class Shell:
     """A front's side of the table; a subclass says how an effect is carried out."""
 
@@ -47,6 +67,24 @@
     def carry_out(self, effect: Effect) -> None:
         raise NotImplementedError
 
+    # --- One request -----------------------------------------------------------------------------
+    def begun(self, passage: Passing) -> None:
+        """Its answer's head has come and is to be passed on."""
+        self.do(self.table.begun(self.now(), passage.ident, passage.number))
+
+    def uploading(self, passage: Passing) -> None:
+        """Its body is on its way to the server: no deadline counts until it is whole."""
+        self.do(self.table.uploading(self.now(), passage.ident))
+
+    def uploaded(self, passage: Passing) -> None:
+        """Its streamed body is whole: now the deadline counts."""
+        now, wait = self.now(), passage.wait_ms
+        self.table.uploaded(now, passage.ident)
+        if passage.attempt and not passage.passing:
+            passage.attempt.rearm(self.loop_time(now + max(wait - EARLY_MS, wait / 2)))
+        self.arm()
+
+    # --- Time ------------------------------------------------------------------------------------
     def arm(self) -> None:
         """Have the table called when it is next due. Most requests end long before: the timer stays."""
         if (due := self.table.next_ms) is None:
--- a/basaltpoint/upstream/streams.py
+++ b/basaltpoint/upstream/streams.py
@@ -95,6 +95,7 @@
         self._within = False  # an answer has come in part
         self._interim = 0
         self.sending = False  # the request's body is not whole yet
+        self._chunked = False  # and is told by chunks
         self.heard = 0.0  # when the server last said something
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -117,13 +118,19 @@
         attempt.receiver.connected(self)
         self._check_written()
 
-    def send(self, piece: bytes) -> None:
-        """More of the request's body, framed as its head says."""
-        if self._transport and self._attempt:
-            self._transport.write(piece)
+    def upload(self, chunked: bool) -> None:
+        """The request's body follows in pieces; `chunked`: its head tells no length."""
+        self.sending, self._chunked = True, chunked
 
-    def sent(self) -> None:
-        """The request's body is whole."""
+    def send(self, piece: bytes) -> None:
+        """More of the request's body; an empty piece says nothing."""
+        if piece and self._transport and self._attempt:
+            self._transport.write(b"%x\r\n%s\r\n" % (len(piece), piece) if self._chunked else piece)
+
+    def sent(self, trailers: bytes = b"\r\n") -> None:
+        """The request's body is whole; `trailers`: the section behind its chunks, its empty line too."""
+        if self._chunked and self._transport and self._attempt:
+            self._transport.write(b"0\r\n" + trailers)
         self.sending = False
         self._check_written()
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -16,7 +16,7 @@
     ("cli",),
     ("daemon",),
     ("fronts.platform", "fronts.http", "fronts.control"),
-    ("fronts.shell",),
+    ("fronts.shell", "fronts.joining"),
     ("handover",),
     ("sim",),
     ("importers", "load", "verify", "standins"),
