Tests share one echo and one configuration; an assertion that could not fail is gone

Found on reading the change again: the echo of a request's id stood in four files, the program's configuration in two; a variable was only ever None, and one settings table was read by nothing.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -102,6 +102,10 @@
     return line, headers, await reader.readexactly(int(headers.get("content-length", 0)))
 
 
+async def echo(request: Request) -> None:
+    request.reply(body=request.headers["req-id"].encode())
+
+
 Script = Callable[[Request], Awaitable[None]]
 
 
@@ -224,6 +228,19 @@
     return Config(**{**values, **changes})
 
 
+def document(listen: str, *hosts: dict[str, Any]) -> dict[str, Any]:
+    """The configuration as a program reads it; nobody is at its discovery."""
+    return {
+        "name": "n3",
+        "listen": listen,
+        "discovery": unused_address(),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": listing(1, *hosts),
+        "settings": SETTINGS,
+    }
+
+
 class Rig:
     def __init__(self, made: Config) -> None:
         self.limiter = Limiter(made)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,16 +8,23 @@
 from typing import Any
 
 import pytest
-from sockets import Request, Rig, backend, config, host, limiter, message, run, until
+from sockets import (
+    Request,
+    Rig,
+    backend,
+    config,
+    echo,
+    host,
+    limiter,
+    message,
+    run,
+    until,
+)
 
 from basaltpoint import interface as api
 from basaltpoint.fronts.platform import clients
 
 
-async def echo(request: Request) -> None:
-    request.reply(body=request.headers["req-id"].encode())
-
-
 def test_split_bytes() -> None:
     async def test() -> None:
         async with backend(echo) as server, limiter(host("a", server.address)) as rig:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from sockets import Request, backend, host, limiter, message, run, until, unused_address
+from sockets import SETTINGS, Request, backend, host, limiter, message, run, until
 
 from basaltpoint import interface as api
 from basaltpoint.core.table import Dispatch, Ending, Reply, Table, Ticket
@@ -146,7 +146,7 @@
                     seen[kind, cls] += 1
                 for server in (one, two):
                     for request in server.requests:
-                        seen["sends", request.headers["req-id"] and request.line.split("/")[1]] += 1
+                        seen["sends", request.line.split("/")[1]] += 1
                 lines = list(rig.limiter.figures.lines(rig.limiter.gauges()))
                 found = read(lines)
                 gauges = {
@@ -243,18 +243,12 @@
 def test_the_programs_own_address(tmp_path: Path) -> None:
     """The file's `control`, and `GW_CONTROL` above it; without either nobody listens."""
     file = tmp_path / "config.json"
-    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1"}
-    from sockets import SETTINGS
-
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1", "settings": SETTINGS}
     for told, variable, expected in [
         (None, None, None),
         ("127.0.0.1:7", None, ("127.0.0.1", 7)),
-        ("127.0.0.1:7", unused_address(), None),
+        ("127.0.0.1:7", "127.0.0.1:8", ("127.0.0.1", 8)),
     ]:
-        file.write_text(json.dumps({**raw, "settings": SETTINGS, **({"control": told} if told else {})}))
-        environ = {"GW_CONFIG": str(file), **({"GW_CONTROL": variable} if variable else {})}
-        control = load(environ).control
-        if variable:
-            assert control == ("127.0.0.1", int(variable.split(":")[1]))
-        else:
-            assert control == expected
+        file.write_text(json.dumps({**raw, "control": told}))
+        environ = {"GW_CONFIG": str(file), "GW_CONTROL": variable or ""}
+        assert load(environ).control == expected
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,17 +8,24 @@
 import time
 
 import pytest
-from sockets import Backend, Request, agent, backend, host, limiter, listing, message, run, until
+from sockets import (
+    Backend,
+    agent,
+    backend,
+    echo,
+    host,
+    limiter,
+    listing,
+    message,
+    run,
+    until,
+)
 
 from basaltpoint.membership import discovery
 from basaltpoint.membership.discovery import HostList, Watch, parse_list
 from basaltpoint.membership.patience import Patience
 
 
-async def echo(request: Request) -> None:
-    request.reply(body=request.headers["req-id"].encode())
-
-
 def test_drain_told_mid_flight() -> None:
     """What is out is finished; free connections close, and nothing new goes there."""
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,7 +10,10 @@
 import signal
 import socket
 import sys
+import tempfile
+import threading
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -21,15 +24,15 @@
     SETTINGS,
     Backend,
     Client,
-    Request,
     backend,
+    echo,
     host,
-    listing,
     message,
     run,
     until,
     unused_address,
 )
+from sockets import document as configured
 
 from basaltpoint import interface as api
 from basaltpoint.config.settings import parse_settings
@@ -39,17 +42,6 @@
 from basaltpoint.policy import Gateway
 
 ROOT = Path(__file__).parent.parent
-CEILED = {
-    **SETTINGS,
-    "contracts": [
-        {
-            "name": "basic",
-            "rate": 1000.0,
-            "mostAtOnce": 2000.0,
-            "ceiling": {"rate": 10.0, "mostAtOnce": 20.0, "slack": 0.0},
-        }
-    ],
-}
 
 
 def plan(rate: float = 5.0, burst: float = 10.0) -> api.Plan:
@@ -58,8 +50,6 @@
 
 def gateway(seed: int = 1, **changes: Any) -> Gateway:
     made = parse_settings(json.dumps(SETTINGS).encode())
-    from dataclasses import replace
-
     return Gateway(replace(made, plans=(plan(),), **changes), seed)
 
 
@@ -244,8 +234,6 @@
         listener.bind(path)
         listener.listen()
         listener.settimeout(5)
-        other, _ = (None, None)
-        import threading
 
         def answer() -> None:
             sock, _ = listener.accept()
@@ -256,7 +244,6 @@
         thread.start()
         assert claim(path) is None
         thread.join()
-        assert other is None
 
 
 # --- Processes -----------------------------------------------------------------------------------
@@ -297,15 +284,7 @@
         self.path = path
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = self.listener.getsockname()
-        self.raw = {
-            "name": "n3",
-            "listen": "{}:{}".format(*self.address),
-            "discovery": unused_address(),
-            "seed": "8c1f",
-            "limits": {"memory_mb": 192, "sockets": 1024},
-            "known": listing(1, host("a", server.address)),
-            "settings": SETTINGS,
-        }
+        self.raw = configured("{}:{}".format(*self.address), host("a", server.address))
         self.started: list[Process] = []
 
     async def start(self) -> Process:
@@ -340,8 +319,6 @@
 
 @contextlib.asynccontextmanager
 async def platform(server: Backend) -> AsyncIterator[Platform]:
-    import tempfile
-
     with tempfile.TemporaryDirectory(dir="/tmp") as folder:  # pytest's own paths may be too long
         made = Platform(Path(folder), server)
         try:
@@ -354,10 +331,6 @@
             made.listener.close()
 
 
-async def echo(request: Request) -> None:
-    request.reply(body=request.headers["req-id"].encode())
-
-
 def test_connections_pass_to_the_next_process_twice_in_a_row() -> None:
     """Kept ones are served on without a break, by the newest; the older ones leave early and cleanly."""
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,11 +17,11 @@
 from sockets import (
     SETTINGS,
     Client,
-    Request,
     agent,
     backend,
+    document,
+    echo,
     host,
-    listing,
     message,
     run,
     until,
@@ -33,10 +33,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-async def echo(request: Request) -> None:
-    request.reply(body=request.headers["req-id"].encode())
-
-
 class Program:
     def __init__(self, process: asyncio.subprocess.Process, address: str, file: Path) -> None:
         self.process = process
@@ -63,15 +59,7 @@
     path: Path, *hosts: dict[str, Any], limit: Callable[[], None] | None = None
 ) -> AsyncIterator[Program]:
     address, file = unused_address(), path / "config.json"
-    raw: dict[str, Any] = {
-        "name": "n3",
-        "listen": address,
-        "discovery": unused_address(),
-        "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": listing(1, *hosts),
-        "settings": SETTINGS,
-    }
+    raw = document(address, *hosts)
     file.write_text(json.dumps(raw))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
