--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -324,12 +324,12 @@
             return False
         if transport.get_write_buffer_size():
             return False
-        transport.pause_reading()  # what comes from now on is the other's to read
         if not send(transport.get_extra_info("socket").fileno()):
-            transport.resume_reading()
             return False
         self._deaf = True
-        transport.abort()  # closes this end's descriptor; the connection lives on in the other's
+        # In the same turn, so that nothing is read here that the other needs. The connection lives on in its
+        # descriptor.
+        transport.abort()
         return True
 
     def cut(self) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -346,6 +346,28 @@
     run(test())
 
 
+def test_a_server_that_takes_nothing_of_a_body_holds_its_client_back() -> None:
+    async def test() -> None:
+        async with raw() as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            client.send(message("upload", Content_Length=str(32 * MB)))
+            reader, _, _ = await server.request()
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            sent = 0
+            with contextlib.suppress(TimeoutError):
+                while sent < 32 * MB:
+                    client.send(b"x" * MB)
+                    await asyncio.wait_for(client.writer.drain(), 0.3)
+                    sent += MB
+            assert sent < 32 * MB and rig.clients._bytes < MB
+            assert rig.limiter.open == 1  # it is held back, not turned away
+            reader._transport.resume_reading()  # type: ignore[attr-defined]
+            client.close()
+            await until(lambda: rig.limiter.open == 0 and rig.clients._bytes == 0)
+
+    run(test())
+
+
 def test_an_upload_is_given_up_when_its_client_goes() -> None:
     async def test() -> None:
         async with raw() as server, limiter(host("a", server.address)) as rig:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -230,9 +230,9 @@
                 assert (await call(made.address, b"readyz\n")) == ["ok"]
         assert (await call(made.address, b"telemetry\n"))[-1] == "eof"
         # All but the latest were cut; each of them holds the descriptor of its own end here.
+        assert len(os.listdir("/proc/self/fd")) - before <= 400 + 2 * CALLERS
         for reader, _ in crowd[: 400 - CALLERS]:
             assert await reader.read() == b""
-        assert len(os.listdir("/proc/self/fd")) - before <= 400 + 2 * CALLERS
         made.close()
         for _, writer in crowd:
             writer.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,9 +24,11 @@
     SETTINGS,
     Backend,
     Client,
+    agent,
     backend,
     echo,
     host,
+    listing,
     message,
     run,
     until,
@@ -141,6 +143,24 @@
     assert sum(ask(old, now, n) for n in range(30, 60)) == 10
 
 
+def test_what_each_drew_since_counts_once_in_the_quota_that_they_join() -> None:
+    old, new = gateway(1), gateway(2)
+    peers(old, 1e9)
+    peers(new, 1e9)
+    now = 1e9 + 10_000.0
+    ask(old, now, 1)
+    passed(old, new, now)
+    now += 1.0
+    for ident, one in enumerate((old, new, old, new, new), 2):
+        ask(one, now, ident)
+    before = old.customers[7].store.refill(now)
+    finish(old, new, now, now - 1.0)
+    joined = new.customers[7]
+    assert joined.log[-1][1] == 6.0 and [row[0] for row in joined.log] == sorted(row[0] for row in joined.log)
+    drawn = joined.log[-1][2] - old.customers[7].log[-1][2]
+    assert drawn >= 3.0 and joined.store.level == pytest.approx(before - drawn)
+
+
 def test_a_cold_servers_ramp_passes_over() -> None:
     """What it may be sent is neither granted anew nor earned twice."""
     old, new = gateway(1), gateway(2)
@@ -436,3 +456,54 @@
             assert await ending == 0
 
     run(test())
+
+
+def test_a_drain_told_to_the_old_process_only_holds_in_the_new_one() -> None:
+    """The new one's own list is of the morning, and discovery tells it nothing more."""
+
+    async def test() -> None:
+        async with backend(echo) as one, backend(echo) as two, agent() as watched, platform(one) as run_on:
+            run_on.raw["discovery"] = "{}:{}".format(*watched.address)
+            old = await run_on.start()
+            await watched.watches.get()
+            watched.tell(listing(2, host("a", one.address, "leaving"), host("b", two.address), whole=False))
+            client = await run_on.connect()
+            asked = 0
+            while not two.requests:  # until it has heard
+                asked += 1
+                assert (await client.ask(message("fix", f"old-{asked}"))).code == 200
+            before = len(one.requests)
+            new = await run_on.start()
+            assert await old.end() == 0
+            for n in range(10):
+                assert (await client.ask(message("fix", f"new-{n}"))).body == f"new-{n}".encode()
+            assert len(one.requests) == before
+            assert "gw_cluster_size 2" in await new.call("telemetry")
+
+    run(test())
+
+
+def test_a_long_answer_and_the_figures_cross_the_upgrade() -> None:
+    """32 MB go on where they began; meanwhile each process answers for its own counts."""
+    size = 32 << 20
+
+    async def test() -> None:
+        async with backend() as server, platform(server) as run_on:
+            old = await run_on.start()
+            client, other = await run_on.connect(), await run_on.connect()
+            client.send(message("fix", "long"))
+            request = await server.arrived.get()
+            request.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * 100_000)
+            await client.reader.readuntil(b"\r\n\r\n")
+            new = await run_on.start()
+            assert (await old.sends(), await new.sends()) == (1, 0)
+            assert "gw_current 1" in await old.call("telemetry")
+            ending = asyncio.create_task(old.end())
+            await until(lambda: "took over" in new.log.read_text())
+            server.script = echo
+            assert (await other.ask(message("fix", "short"))).body == b"short"
+            request.writer.write(b"x" * (size - 100_000))
+            assert await client.reader.readexactly(size) == b"x" * size
+            assert (await new.sends(), await ending) == (1, 0)
+
+    run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -56,10 +56,11 @@
 
 @contextlib.asynccontextmanager
 async def program(
-    path: Path, *hosts: dict[str, Any], limit: Callable[[], None] | None = None
+    path: Path, *hosts: dict[str, Any], limit: Callable[[], None] | None = None, sockets: int = 1024
 ) -> AsyncIterator[Program]:
     address, file = unused_address(), path / "config.json"
     raw = document(address, *hosts)
+    raw["limits"]["sockets"] = sockets
     file.write_text(json.dumps(raw))
     process = await asyncio.create_subprocess_exec(
         sys.executable,
