Frames, greeting and certificates stand in links/, for the store and for peers

Need: peers are to speak over what the store's connections already have; it lay within store/. Change: links/frames.py (frames, greeting, parser) and links/transport.py (TLS, links, callers); a Speech says what may be said over connections of one kind and how long. A greeting that does not fit no longer cuts off ours on its way, so both sides can say why. No byte on the wire has changed.

--- /dev/null
+++ b/basaltpoint/links/frames.py
@@ -0,0 +1,94 @@
+"""Frames and the greeting: what every connection between processes of one installation has in common.
+
+A frame is u32 little-endian for the bytes that follow, and one MessagePack structure. The first frame of each
+side is its greeting; a connection whose greeting does not fit is closed with nothing told.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+VERSION = 1
+LENGTH = struct.Struct("<I")
+FRAME = 8 << 20  # bytes of the longest frame; more is an error of the other side, and ends the connection
+BUFFER = 16 << 20  # bytes waiting for one slow reader; beyond, messages to it are dropped
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Any frame. New fields come last, with a default: those of a newer version are left unread."""
+
+
+class Greeting(Part, frozen=True, tag="hi"):
+    """Who speaks. `name` is a replica's or member's, empty for a client; `address` is where it listens."""
+
+    version: int
+    cluster: str
+    name: str = ""
+    address: str = ""
+
+
+class FrameError(Exception):
+    """What came is no frame that is allowed here."""
+
+
+@dataclass(frozen=True, slots=True)
+class Speech:
+    """What may be said over connections of one kind."""
+
+    what: str  # for the log
+    decode: Callable[[memoryview], Any]  # msgspec.DecodeError, ValueError where it is no frame
+    frame: int = FRAME  # bytes of the longest
+    buffer: int = BUFFER
+
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def pack(part: Part, longest: int = FRAME) -> bytes:
+    """A whole frame; FrameError where it is too long."""
+    body = _encoder.encode(part)
+    if len(body) > longest:
+        raise FrameError(f"a frame of {len(body)} bytes; allowed: {longest}")
+    return LENGTH.pack(len(body)) + body
+
+
+class Parser:
+    """Cuts what comes into frames."""
+
+    def __init__(self, speech: Speech) -> None:
+        self._decode, self._longest = speech.decode, speech.frame
+        self._held = bytearray()
+        self._at = 0
+
+    def feed(self, data: bytes) -> None:
+        self._held += data
+
+    def next(self) -> Any:
+        """The next whole frame, None where none is whole; FrameError where it can't be one."""
+        at, held = self._at, self._held
+        if len(held) - at < LENGTH.size:
+            self._rest()
+            return None
+        (length,) = LENGTH.unpack_from(held, at)
+        if length > self._longest:
+            raise FrameError(f"a frame of {length} bytes; allowed: {self._longest}")
+        end = at + LENGTH.size + length
+        if len(held) < end:
+            self._rest()
+            return None
+        with memoryview(held) as view:
+            try:
+                frame = self._decode(view[at + LENGTH.size : end])
+            except (msgspec.DecodeError, ValueError) as error:
+                raise FrameError(f"a frame that can't be read: {error}") from None
+        self._at = end
+        return frame
+
+    def _rest(self) -> None:
+        del self._held[: self._at]
+        self._at = 0
--- a/basaltpoint/store/transport.py
+++ b/basaltpoint/links/transport.py
@@ -1,4 +1,4 @@
-"""The store's connections: mutual TLS between hosts, a socket of the file system within one.
+"""Connections: mutual TLS between hosts, a socket of the file system within one.
 
 Nothing is told to one whose certificate the operator's authority did not sign, who greets for another
 cluster, or who greets under a name that its certificate does not hold.
@@ -15,13 +15,10 @@
 from typing import Any, Protocol, cast
 
 from basaltpoint.config.address import parse_address
-from basaltpoint.store import protocol as p
+from basaltpoint.links.frames import VERSION, FrameError, Greeting, Parser, Part, Speech, pack
 
 log = logging.getLogger(__name__)
 
-BUFFER = (
-    16 << 20
-)  # bytes waiting for one slow reader; beyond, a peer's messages are dropped, a client is cut off
 GREET_S = 5.0  # for the greeting and the TLS handshake
 BACKOFF_S = (0.02, 1.0)  # first and longest wait before a peer is called again
 
@@ -56,7 +53,8 @@
     def greeted(self, link: Link) -> bool:
         """The other side's greeting has come: whether to go on with it."""
 
-    def came(self, link: Link, frame: p.Frame) -> None: ...
+    def came(self, link: Link, frame: Any) -> None:
+        """A frame after the greeting; FrameError where it is not allowed here."""
 
     def lost(self, link: Link) -> None: ...
 
@@ -64,12 +62,12 @@
 class Link(asyncio.Protocol):
     """One connection, either side."""
 
-    def __init__(self, owner: Owner, greeting: p.Greeting, local: bool) -> None:
-        self._owner, self._greeting = owner, greeting
+    def __init__(self, owner: Owner, greeting: Greeting, local: bool, speech: Speech) -> None:
+        self._owner, self._greeting, self._speech = owner, greeting, speech
         self.local = local  # over the file system's socket: whoever may open it is trusted
-        self._parser = p.Parser()
+        self._parser = Parser(speech)
         self._transport: asyncio.Transport | None = None
-        self.other: p.Greeting | None = None
+        self.other: Greeting | None = None
         self.dropped = 0
         self._timer: asyncio.TimerHandle | None = None
         self.closed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -77,7 +75,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._timer = asyncio.get_running_loop().call_later(GREET_S, self._too_late)
-        self._transport.write(p.pack(self._greeting))
+        self._transport.write(pack(self._greeting))
 
     def _too_late(self) -> None:
         if self.other is None:
@@ -91,18 +89,18 @@
                     self._greeted(frame)
                 else:
                     self._owner.came(self, frame)
-        except p.FrameError as error:
-            log.warning("store: connection of %s ended: %s", self.name or "a client", error)
-            self.close()
+        except FrameError as error:
+            log.warning("%s: connection of %s ended: %s", self._speech.what, self.name or "a client", error)
+            self.close(flush=self.other is None)  # the other side is to read our greeting, and say why, too
 
-    def _greeted(self, frame: p.Frame) -> None:
-        if not isinstance(frame, p.Greeting) or frame.version != p.VERSION:
-            raise p.FrameError(f"no greeting of version {p.VERSION}")
+    def _greeted(self, frame: Any) -> None:
+        if not isinstance(frame, Greeting) or frame.version != VERSION:
+            raise FrameError(f"no greeting of version {VERSION}")
         any_cluster = self.local and not (frame.cluster and self._greeting.cluster)
         if frame.cluster != self._greeting.cluster and not any_cluster:
-            raise p.FrameError(f"a greeting for cluster {frame.cluster!r}, not {self._greeting.cluster!r}")
+            raise FrameError(f"a greeting for cluster {frame.cluster!r}, not {self._greeting.cluster!r}")
         if frame.name and not self.local and frame.name not in self._certified():
-            raise p.FrameError(f"a greeting as {frame.name!r}, which its certificate does not hold")
+            raise FrameError(f"a greeting as {frame.name!r}, which its certificate does not hold")
         self.other = frame
         if not self._owner.greeted(self):
             self.close()
@@ -117,14 +115,14 @@
     def name(self) -> str:
         return self.other.name if self.other else ""
 
-    def send(self, part: p.Part) -> bool:
+    def send(self, part: Part) -> bool:
         """False where the other side reads so slowly that this is dropped, or is gone."""
         if self._transport is None:
             return False
-        if self._transport.get_write_buffer_size() > BUFFER:
+        if self._transport.get_write_buffer_size() > self._speech.buffer:
             self.dropped += 1
             return False
-        self._transport.write(p.pack(part))
+        self._transport.write(pack(part, self._speech.frame))
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -135,9 +133,13 @@
             self.closed.set_result(None)
         self._owner.lost(self)
 
-    def close(self) -> None:
+    def close(self, flush: bool = False) -> None:
+        """End at once, or with `flush` once what was written has gone out."""
         if self._transport:
-            self._transport.abort()
+            if flush:
+                self._transport.close()
+            else:
+                self._transport.abort()
             self._transport = None
 
 
@@ -179,12 +181,12 @@
             except (OSError, TimeoutError) as error:  # ssl.SSLError is an OSError
                 if str(error) != told:  # once for each reason, not at each try
                     told = str(error)
-                    log.warning("store: %s at %s: %s", self.name, self.address, error or "no answer")
+                    log.warning("%s at %s: %s", self.name, self.address, error or "no answer")
             self.link = None
             await asyncio.sleep(wait)
             wait = min(BACKOFF_S[1], wait * 2)
 
-    def send(self, part: p.Part) -> bool:
+    def send(self, part: Part) -> bool:
         link = self.link
         return link is not None and link.other is not None and link.send(part)
 
--- a/basaltpoint/store/client.py
+++ b/basaltpoint/store/client.py
@@ -10,10 +10,11 @@
 from functools import partial
 from typing import Any
 
+from basaltpoint.links.frames import VERSION, Greeting, Part
+from basaltpoint.links.transport import Link, Tls, connect
 from basaltpoint.store import machine as kv
 from basaltpoint.store import protocol as p
 from basaltpoint.store.machine import Check, CompactedError, Delete, Event, Put, Result, Value
-from basaltpoint.store.transport import Link, Tls, connect
 
 ANSWER_S = 3.0  # for one answer; then another replica is asked the same
 AGAIN_S = (0.02, 0.1)  # first and longest wait between two tries: a new leader is there within a second
@@ -79,9 +80,9 @@
                 return self._link
             self._at = (self._at + 1) % len(self._endpoints)
             to = self._endpoints[self._at]
-            greeting = p.Greeting(p.VERSION, self._cluster)
+            greeting = Greeting(VERSION, self._cluster)
             local = "/" in to.address
-            link = await connect(lambda: Link(self, greeting, local), to.address, to.name, self._tls)
+            link = await connect(lambda: Link(self, greeting, local, p.STORE), to.address, to.name, self._tls)
             self._link = link
             return link
 
@@ -93,7 +94,7 @@
     def close(self) -> None:
         self.drop()
 
-    async def _once(self, make: Callable[[int], p.Part], answer_s: float) -> Any:
+    async def _once(self, make: Callable[[int], Part], answer_s: float) -> Any:
         """One try; None where it failed."""
         try:
             link = await self._connected()
@@ -114,7 +115,7 @@
         finally:
             self._waits.pop(ident, None)
 
-    async def _ask(self, make: Callable[[int], p.Part], good: Callable[[Any], bool], within_s: float) -> Any:
+    async def _ask(self, make: Callable[[int], Part], good: Callable[[Any], bool], within_s: float) -> Any:
         """Ask until a good answer comes; UnavailableError after `within_s`."""
         loop = asyncio.get_running_loop()
         end, (wait, longest) = loop.time() + within_s, AGAIN_S
@@ -198,7 +199,7 @@
             after = list(page.values)[-1]
 
     async def _page(self, get: p.Get, within_s: float) -> p.Page:
-        def make(ident: int) -> p.Part:
+        def make(ident: int) -> Part:
             return p.Get(ident, get.prefix, get.after, get.local, get.exact)
 
         page: p.Page = await self._ask(make, lambda f: isinstance(f, p.Page) and not f.error, within_s)
@@ -274,7 +275,7 @@
     async def snapshot(self, within_s: float = 10.0) -> Result:
         return await self._operate(p.Snap, within_s)
 
-    async def _operate(self, make: Callable[[int], p.Part], within_s: float) -> Result:
+    async def _operate(self, make: Callable[[int], Part], within_s: float) -> Result:
         # Not repeated where its effect is not known: the operator looks first.
         def good(frame: Any) -> bool:
             return isinstance(frame, p.Done) and frame.result.error != "unavailable"
--- a/basaltpoint/store/protocol.py
+++ b/basaltpoint/store/protocol.py
@@ -1,38 +1,17 @@
-"""What goes over the store's connections: frames, the greeting, clients' requests and their answers.
-
-A frame is u32 little-endian for the bytes that follow, and one MessagePack structure. The first frame of each
-side is its greeting; a connection whose greeting does not fit is closed with nothing told.
-"""
+"""What goes over the store's connections after the greeting: clients' requests and answers, peers' messages."""
 
 from __future__ import annotations
 
-import struct
-
 import msgspec
 
+from basaltpoint.links.frames import Greeting, Part, Speech
 from basaltpoint.store import machine as kv
 from basaltpoint.store import messages
 
-VERSION = 1
-LENGTH = struct.Struct("<I")
-FRAME = 8 << 20  # bytes of the longest frame; more is an error of the other side, and ends the connection
 COMMAND = 4 << 20  # bytes of the longest command: with its head it fits into a frame between replicas
 PAGE = 1 << 20  # bytes of keys and values in one answer
 
 
-class Part(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Any frame."""
-
-
-class Greeting(Part, frozen=True, tag="hi"):
-    """Who speaks. `name` is a replica's, empty for a client; `address` is where it listens."""
-
-    version: int
-    cluster: str
-    name: str = ""
-    address: str = ""
-
-
 class Peer(Part, frozen=True, tag="m"):
     """A message of the core."""
 
@@ -159,7 +138,7 @@
     recovering: bool
     broken: str
     age_ms: float
-    matches: dict[str, int] = {}  # of a leader: what each member holds
+    matches: dict[str, int] = msgspec.field(default_factory=dict)  # of a leader: what each member holds
 
 
 class Pass(Part, frozen=True, tag="f"):
@@ -179,53 +158,4 @@
 Request = Do | Get | Watch | Unwatch | Status | Change | Transfer | Snap | Dump
 Frame = Greeting | Peer | Pass | Passed | Request | Done | Page | Events | Standing | Dumped
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Frame)
-
-
-class FrameError(Exception):
-    """What came is no frame that is allowed here."""
-
-
-def pack(part: Part) -> bytes:
-    """A whole frame; FrameError where it is too long."""
-    body = _encoder.encode(part)
-    if len(body) > FRAME:
-        raise FrameError(f"a frame of {len(body)} bytes; allowed: {FRAME}")
-    return LENGTH.pack(len(body)) + body
-
-
-class Parser:
-    """Cuts what comes into frames."""
-
-    def __init__(self) -> None:
-        self._held = bytearray()
-        self._at = 0
-
-    def feed(self, data: bytes) -> None:
-        self._held += data
-
-    def next(self) -> Frame | None:
-        """The next whole frame; FrameError where it can't be one."""
-        at, held = self._at, self._held
-        if len(held) - at < LENGTH.size:
-            self._rest()
-            return None
-        (length,) = LENGTH.unpack_from(held, at)
-        if length > FRAME:
-            raise FrameError(f"a frame of {length} bytes; allowed: {FRAME}")
-        end = at + LENGTH.size + length
-        if len(held) < end:
-            self._rest()
-            return None
-        with memoryview(held) as view:
-            try:
-                frame: Frame = _decoder.decode(view[at + LENGTH.size : end])
-            except (msgspec.DecodeError, ValueError) as error:
-                raise FrameError(f"a frame that can't be read: {error}") from None
-        self._at = end
-        return frame
-
-    def _rest(self) -> None:
-        del self._held[: self._at]
-        self._at = 0
+STORE = Speech("store", msgspec.msgpack.Decoder(Frame).decode)
--- a/basaltpoint/store/replica.py
+++ b/basaltpoint/store/replica.py
@@ -14,6 +14,8 @@
 
 from basaltpoint.config.address import listener, parse_address
 from basaltpoint.config.storage import SOCKET
+from basaltpoint.links.frames import VERSION, Greeting
+from basaltpoint.links.transport import Caller, Link, Tls
 from basaltpoint.store import machine as kv
 from basaltpoint.store import protocol as p
 from basaltpoint.store.files import Folder, Point, no_point
@@ -21,7 +23,6 @@
 from basaltpoint.store.messages import Member, Members, Message
 from basaltpoint.store.node import Node, Sizes
 from basaltpoint.store.raft import Options, RefusedError
-from basaltpoint.store.transport import Caller, Link, Tls
 
 log = logging.getLogger(__name__)
 
@@ -111,7 +112,9 @@
         mask = os.umask(0o177)  # whoever may open the socket may change the store
         try:
             self._servers.append(
-                await self._loop.create_unix_server(lambda: Link(self, self._greeting(), True), str(path))
+                await self._loop.create_unix_server(
+                    lambda: Link(self, self._greeting(), True, p.STORE), str(path)
+                )
             )
         finally:
             os.umask(mask)
@@ -122,13 +125,13 @@
             context = self.setting.tls.server() if self.setting.tls else None
             self._servers.append(
                 await self._loop.create_server(
-                    lambda: Link(self, self._greeting(), False), sock=sock, ssl=context
+                    lambda: Link(self, self._greeting(), False, p.STORE), sock=sock, ssl=context
                 )
             )
         self._kick()
 
-    def _greeting(self) -> p.Greeting:
-        return p.Greeting(p.VERSION, self.setting.cluster, self.setting.name, self.address)
+    def _greeting(self) -> Greeting:
+        return Greeting(VERSION, self.setting.cluster, self.setting.name, self.address)
 
     def close(self) -> None:
         """End; what was acknowledged is on the disk."""
@@ -181,7 +184,7 @@
                 del self._callers[name]
         for name, address in wanted.items():
             if name not in self._callers:
-                make: Callable[[], Link] = lambda: Link(self, self._greeting(), False)  # noqa: E731
+                make: Callable[[], Link] = lambda: Link(self, self._greeting(), False, p.STORE)  # noqa: E731
                 self._callers[name] = Caller(make, name, address, self.setting.tls)
 
     def _send(self, to: str, message: Message) -> None:
--- a/basaltpoint/store/setting.py
+++ b/basaltpoint/store/setting.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from basaltpoint.config.storage import Storage
+from basaltpoint.links.transport import Tls
 from basaltpoint.store.client import Client, Endpoint
 from basaltpoint.store.messages import Member, Members
 from basaltpoint.store.node import Sizes
 from basaltpoint.store.raft import Options
 from basaltpoint.store.replica import Setting
-from basaltpoint.store.transport import Tls
 
 
 def tls(storage: Storage) -> Tls | None:
--- a/tests/storeprocs.py
+++ b/tests/storeprocs.py
@@ -15,9 +15,9 @@
 
 import trustme
 
+from basaltpoint.links.transport import Tls
 from basaltpoint.store.client import Client, Endpoint, StoreError
 from basaltpoint.store.command import CRASH
-from basaltpoint.store.transport import Tls
 
 PATIENCE_S = 60.0
 
