Peers: who is there, as a machine without I/O, and its model under faults in virtual time

Need: nobody knows which limiters are there; quotas, replicated state and ceilings over several rest on it. Change: peers/ (probes on a ring, indirect probes, suspicion after Lifeguard, refutation, pauses known by the own clock, cut links told apart from deaths, rivals for one name, removal) and rehearsal/ (faults as values, checks as pure functions, the model).

--- /dev/null
+++ b/basaltpoint/peers/machine.py
@@ -0,0 +1,508 @@
+"""One member: events and the time in, messages and changes of its view out.
+
+After SWIM (Das, Gupta, Motivala 2002) and Lifeguard (Dadgar, Phillips, Currey 2017), over connections that
+last: those watched stand on a ring, a closed connection is a reason to look at once, and a host that refuses
+is a surer sign than silence. Times are ms of this member's own clock; two members' clocks are never compared.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from basaltpoint.peers import actions as act
+from basaltpoint.peers import messages as m
+from basaltpoint.peers.messages import Row, State
+from basaltpoint.peers.options import Options
+from basaltpoint.peers.prober import Prober
+from basaltpoint.peers.rivals import Rivals
+from basaltpoint.peers.spread import Spread
+from basaltpoint.peers.suspicion import Suspicion
+from basaltpoint.peers.view import View, join, order, sound
+
+INF = math.inf
+Told = tuple[str, tuple[int, int, int, int]]
+
+FANOUT = 4  # members that news goes to in one round
+EXCHANGES = 4  # full exchanges under way at once
+FORGET_MS = 10_000.0  # between two looks for rows that are old enough to go
+
+
+class Peers:
+    """One member of the fleet."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        life: int,
+        incarnation: int,
+        seeds: Sequence[tuple[str, str]],
+        options: Options,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """`life`: drawn anew by each process. `incarnation`: any start above those before it; what others
+        hold of the name raises it further. `seeds`: names and addresses."""
+        self.me, self.address, self.life, self.options = name, address, life, options
+        self.seeds = [(other, at) for other, at in seeds if other != name]
+        self.view = View(name)
+        self.leaving = self.ended = False
+        self._rng, self._began = rng, now
+        self._row = Row(name, address, incarnation, State.JOINING, life)
+        self.view.put(now, self._row)
+        self._out: list[act.Action] = []
+        self._spread = Spread()
+        self.prober = Prober(self.view, options, rng, now, self._send, self._unreached)
+        self._suspicions: dict[str, Suspicion] = {}
+        self._rivals = Rivals(options)
+        self._linked: dict[str, None] = {}  # members with a connection now
+        self._exchanges: dict[str, set[Told]] = {}  # what an answer has told of, by who tells
+        self._gossip_at = INF
+        self._sync_at = now + self._sync_wait()
+        self._recall_at = now + options.recall_ms
+        self._forget_at = now + FORGET_MS
+        self._join_at = now
+        self._sure_at, self._word = -INF, True  # after a pause: nobody is held dead before, unless word came
+        self._due = now
+        self.late_ms = 0.0  # by how much the last call came too late
+
+    # --- What the shell calls ---------------------------------------------------------------------------
+    def take(self) -> list[act.Action]:
+        """What is to be done now; to be asked for after each of the calls below."""
+        taken, self._out = self._out, []
+        self._due = self.next_ms
+        return taken
+
+    @property
+    def state(self) -> State:
+        return self._row.state
+
+    @property
+    def next_ms(self) -> float:
+        """When `tick` is due."""
+        if self.ended or self.leaving:
+            return INF
+        due = min(
+            self.prober.next_ms,
+            self._gossip_at,
+            self._sync_at,
+            self._recall_at,
+            self._forget_at,
+            self._rivals.next_ms,
+        )
+        if self.state is State.JOINING:
+            due = min(due, self._join_at)
+        live = len(self.view.ring)
+        for suspicion in self._suspicions.values():
+            due = min(due, suspicion.ask_at)
+            if suspicion.asked:
+                due = min(due, max(self._sure_at, suspicion.end(self.options, live)))
+        return due
+
+    def tick(self, now: float) -> None:
+        self._wake(now)
+        if self.ended or self.leaving:
+            return
+        if self.state is State.JOINING and now >= self._join_at:
+            self._join(now)
+        if self._rivals.due(now):
+            self._rival_asked(now)
+        self._doubted(now)
+        self.prober.tick(now)
+        if self.prober.news:
+            self._report(now)
+        if now >= self._gossip_at:
+            self._gossip(now)
+        if now >= self._sync_at:
+            self._sync_at = now + self._sync_wait()
+            if others := self.view.others():
+                self._ask_all(self._rng.choice(others))
+        if now >= self._recall_at:
+            self._recall_at = now + self.options.recall_ms
+            self._recall()
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_MS
+            self._forget(now)
+
+    def heard(self, now: float, sender: str, address: str, message: m.Message) -> None:
+        """A message over a connection that greeted under this name and address."""
+        self._wake(now)
+        if self.ended or self.leaving or sender == self.me:
+            return
+        self._word = True
+        if known := self.view.known.get(sender):
+            known.heard = now
+        for row in message.rows[: m.ROWS]:
+            self._row_came(now, row, sender)
+        match message:
+            case m.Ping():
+                self._pinged(sender, address, message)
+            case m.Ack():
+                self.prober.acked(now, sender, message)
+            case m.Ask():
+                self.prober.ask(now, sender, address, message)
+            case m.Nack():
+                self.prober.nacked(now, sender, message)
+            case m.Sync():
+                self._synced(now, sender, address, message)
+        if self.prober.news:
+            self._report(now)
+
+    def linked(self, now: float, name: str) -> None:
+        """A connection with a member is there."""
+        self._wake(now)
+        self._linked[name] = None
+
+    def lost(self, now: float, name: str) -> None:
+        """It has ended, though nobody wanted it to: a reason to look at once."""
+        self._wake(now)
+        self._linked.pop(name, None)
+        if (row := self.view.get(name)) and row.live and name != self.me:
+            self.prober.soon(now, name)
+
+    def unlinked(self, name: str) -> None:
+        """It was ended here, as others are used more."""
+        self._linked.pop(name, None)
+
+    def refused(self, now: float, name: str) -> None:
+        """The member's host refused a connection, or ended it before any greeting."""
+        self._wake(now)
+        self.prober.refused(now, name)
+
+    def rival(self, now: float, life: int, age_ms: float) -> None:
+        """Another process answered under this member's name."""
+        self._wake(now)
+        if life == self.life or self.ended:
+            return
+        if (age_ms, life) >= (now - self._began, self.life):
+            self._end(f"the name {self.me} is in use at {self._rivals.address}, for {age_ms / 1000:.1f} s")
+        else:
+            self._rivals.settled()
+            self._above(now, self._rivals.incarnation)
+
+    def leave(self, now: float) -> None:
+        """Tell the others that this member goes; nothing is answered any more."""
+        if self.ended or self.leaving:
+            return
+        self._own(now, State.LEFT)
+        self.leaving = True
+        for name in dict.fromkeys([*self.view.watched(), *self._linked, *self._some(FANOUT)]):
+            self._send_rows(name, (self._row,))
+
+    def remove(self, now: float, name: str, force: bool) -> str:
+        """An operator declares a member gone for good; the reason why not, or nothing."""
+        row = self.view.get(name)
+        if row is None:
+            return f"found the member {name!r}; known are {', '.join(sorted(self.view.known))}"
+        if name == self.me:
+            return f"{name} is the member that is asked; SIGTERM ends it"
+        if row.state is State.LEFT:
+            return f"{name} has left already"
+        if row.live and not force:
+            state = row.state.name.lower()
+            return f"{name} is {state}: somebody may still reach it; --force declares it gone all the same"
+        self._accept(now, msgspec.structs.replace(row, state=State.LEFT, by=self.me))
+        return ""
+
+    def looked(self, now: float, ident: int) -> m.Looked:
+        """This member's view, for an operator."""
+        known = sorted(self.view.known.values(), key=lambda one: (not one.row.live, -one.since))
+        seen = tuple(
+            m.Seen(one.row, now - one.since, now - one.heard if one.heard >= 0 else -1.0, one.rtt)
+            for one in known[: self.options.most]
+        )
+        return m.Looked(ident, self.me, seen, self.prober.doubt)
+
+    def reseed(self, seeds: Sequence[tuple[str, str]]) -> None:
+        """Other seeds from now on; members that are known stay."""
+        self.seeds = [(other, at) for other, at in seeds if other != self.me]
+
+    @property
+    def live(self) -> int:
+        """Members that are there or on their way: what a quota is divided by."""
+        return len(self.view.ring)
+
+    # --- Pauses -----------------------------------------------------------------------------------------
+    def _wake(self, now: float) -> None:
+        """Notice by the own clock that this process stood still; nothing that fell into it counts."""
+        self.late_ms, self._due = max(0.0, now - self._due), max(self._due, now)
+        if self.late_ms <= self.options.pause_ms or not self.options.lifeguard:
+            return
+        grace = 2 * self.options.probe_ms
+        self.prober.stood_still()
+        self.prober.doubts(1)
+        self._sure_at, self._word = now + grace, False
+        for suspicion in self._suspicions.values():
+            suspicion.held += self.late_ms + grace
+            suspicion.asked, suspicion.ask_at = False, now
+        self._sync_at = now
+        if self.late_ms > self.options.keep_ms:
+            # Others may have forgotten that somebody died; whoever is there will tell.
+            for name in [name for name in self.view.known if name != self.me]:
+                self.view.forget(name)
+            self._suspicions.clear()
+            self._own(now, State.JOINING, raised=True)
+            self._join_at = self._began = now
+
+    # --- Rows ---------------------------------------------------------------------------------------------
+    def _row_came(self, now: float, row: Row, sender: str) -> None:
+        if problem := sound(row):
+            self._out.append(act.Named(sender, problem))
+        elif row.name == self.me:
+            self._about_me(now, row)
+        else:
+            self._accept(now, row)
+
+    def _accept(self, now: float, row: Row) -> None:
+        """Take a row in, and tell it on where it is news."""
+        held = self.view.get(row.name)
+        if held is None:
+            if len(self.view.known) >= 4 * self.options.most or (
+                row.live and len(self.view.ring) >= self.options.most
+            ):
+                self._out.append(act.Named(row.name, f"more than {self.options.most} members"))
+                return
+        elif order(join(held, row)) == order(held):
+            same = row.state is State.SUSPECT and order(row) == order(held)
+            suspicion = self._suspicions.get(row.name)
+            if (
+                same
+                and suspicion
+                and len(suspicion.by) <= self.options.confirmations
+                and suspicion.confirm(row.by, row.refused)
+            ):
+                self._news(now, row)
+            return
+        if held and held.live and row.state is State.DEAD and not self._asked(now, row):
+            return
+        self.view.put(now, row)
+        self._out.append(act.Changed(held, row))
+        self._suspicions.pop(row.name, None)
+        if row.state is State.SUSPECT:
+            suspicion = self._suspicions[row.name] = Suspicion(row.incarnation, now, False)
+            suspicion.confirm(row.by, row.refused)
+            suspicion.asked = row.by == self.me or not self.options.lifeguard
+            # Each asks for itself before it holds one dead, at some time before: whoever reaches it tells
+            # it of the doubt. In a fleet cut up at random that may be a single member.
+            if not suspicion.asked:
+                half = (suspicion.end(self.options, len(self.view.ring)) - now) / 2
+                suspicion.ask_at = now + self._rng.uniform(0.0, min(half, 4 * self.options.probe_ms))
+        elif not row.live:
+            self.prober.gone(row.name)
+        if held is not None or row.live:
+            self._news(now, row)
+
+    def _asked(self, now: float, row: Row) -> bool:
+        """Whether this member has asked one that others hold dead; if not, it does so now."""
+        suspicion = self._suspicions.get(row.name)
+        if suspicion is None or suspicion.incarnation != row.incarnation:
+            if not self.options.lifeguard:
+                return True
+            self._accept(now, msgspec.structs.replace(row, state=State.SUSPECT))
+            suspicion = self._suspicions.get(row.name)
+        if suspicion and not suspicion.asked:
+            suspicion.verdict = row
+            suspicion.ask_at = min(suspicion.ask_at, now)
+            return False
+        return True
+
+    def _news(self, now: float, row: Row) -> None:
+        self._spread.add(row)
+        self._gossip_at = min(self._gossip_at, now + self._rng.uniform(0.0, self.options.gossip_ms))
+
+    def _own(self, now: float, state: State, raised: bool = False, above: int = 0) -> None:
+        """This member's own row has changed."""
+        before = self._row
+        incarnation = max(before.incarnation, above) + raised
+        report = 0 if incarnation != before.incarnation else before.report
+        self._row = msgspec.structs.replace(before, state=state, incarnation=incarnation, report=report)
+        self.view.put(now, self._row)
+        self._out.append(act.Changed(before, self._row))
+        self._news(now, self._row)
+
+    def _report(self, now: float) -> None:
+        """Which links this member can't use has changed."""
+        self.prober.news = False
+        told = tuple(sorted((">" if heard else "") + name for name, heard in self.prober.unreached.items()))
+        self._row = msgspec.structs.replace(self._row, unreached=told, report=self._row.report + 1)
+        self.view.put(now, self._row)
+        self._news(now, self._row)
+
+    def _about_me(self, now: float, row: Row) -> None:
+        """What others say of this member: contradict it, or find out who else has its name."""
+        if row.life == self.life:
+            if row.state is State.LEFT:
+                self._end(f"{row.by or 'an operator'} declared this member gone")
+            elif row.incarnation > self._row.incarnation or (
+                row.incarnation == self._row.incarnation and row.state in (State.SUSPECT, State.DEAD)
+            ):
+                if self.options.lifeguard:
+                    self.prober.doubts(1)
+                self._above(now, row.incarnation)
+        elif row.live and row.address != self.address:
+            if self._rivals.met(now, row):
+                self._rival_asked(now)
+        elif row.incarnation >= self._row.incarnation:
+            self._above(now, row.incarnation)  # an earlier life of this member
+
+    def _above(self, now: float, incarnation: int) -> None:
+        if incarnation >= self._row.incarnation:
+            self._own(now, self.state, raised=True, above=incarnation)
+
+    # --- A name that another process has --------------------------------------------------------------------
+    def _rival_asked(self, now: float) -> None:
+        if self._rivals.ask(now):
+            self._out.append(act.Rival(self._rivals.address))
+        else:  # it answers no more: an earlier life at another address
+            self._above(now, self._rivals.incarnation)
+
+    def _end(self, reason: str) -> None:
+        self.ended = True
+        self._out.append(act.End(reason))
+
+    # --- Joining --------------------------------------------------------------------------------------------
+    def _join(self, now: float) -> None:
+        if self._rivals.pending:
+            self._join_at = self._rivals.next_ms
+        elif not self.seeds or now - self._began >= self.options.alone_ms:
+            self._own(now, State.ALIVE)
+        else:
+            self._join_at = min(now + self.options.join_ms, self._began + self.options.alone_ms)
+            for name, address in self.seeds:
+                self._send(name, address, m.Sync((), self.view.digest()))
+
+    def _joined(self, now: float) -> None:
+        """Somebody has told all that it knows."""
+        if self.state is State.JOINING:
+            if self._rivals.pending:
+                self._join_at = self._rivals.next_ms
+            else:
+                self._own(now, State.ALIVE)
+
+    # --- Doubts ---------------------------------------------------------------------------------------------
+    def _unreached(self, now: float, name: str, refused: bool) -> None:
+        """Neither this member nor those it asked could reach one."""
+        row = self.view.get(name)
+        if row and row.live and (row.state is not State.JOINING or refused):
+            doubt = msgspec.structs.replace(row, state=State.SUSPECT, by=self.me, refused=refused)
+            self._accept(now, doubt)
+            if suspicion := self._suspicions.get(name):
+                suspicion.asked = True
+                if suspicion.verdict:
+                    self._accept(now, suspicion.verdict)
+
+    def _doubted(self, now: float) -> None:
+        for name, suspicion in self._suspicions.items():
+            if now >= suspicion.ask_at:
+                suspicion.ask_at = INF
+                self.prober.soon(now, name)
+        if now < self._sure_at:
+            return
+        if not self._word:
+            # Since a pause nobody was heard: it may be this member that is cut off.
+            self._sure_at, self._word = now + self.options.silent_ms, True
+            return
+        live = len(self.view.ring)
+        for name, suspicion in list(self._suspicions.items()):
+            row = self.view.get(name)
+            if not row or now < suspicion.end(self.options, live):
+                continue
+            if not suspicion.asked:
+                if suspicion.ask_at == INF:
+                    suspicion.ask_at = now + self.options.probe_ms
+            else:
+                self._accept(now, msgspec.structs.replace(row, state=State.DEAD, by=self.me))
+
+    # --- Messages -----------------------------------------------------------------------------------------
+    def _send(self, to: str, address: str, message: m.Message) -> None:
+        """Send, with news and this member's own row riding along where they matter."""
+        rows = dict.fromkeys(message.rows)
+        if isinstance(message, m.Ping | m.Ack) and self.state is not State.JOINING:
+            rows[self._row] = None
+        if isinstance(message, m.Ping | m.Ack | m.Ask | m.Nack):
+            rows.update(dict.fromkeys(self._spread.take(self.options.told, len(self.view.ring))))
+        self._out.append(act.Send(to, address, msgspec.structs.replace(message, rows=tuple(rows))))
+
+    def _send_rows(self, name: str, rows: tuple[Row, ...]) -> None:
+        if row := self.view.get(name):
+            self._out.append(act.Send(name, row.address, m.Gossip(rows)))
+
+    def _some(self, most: int) -> list[str]:
+        others = self.view.others()
+        return self._rng.sample(others, min(most, len(others)))
+
+    def _gossip(self, now: float) -> None:
+        near = list(dict.fromkeys([*self.view.watched(), *self._linked])) if self.options.ring else []
+        near = [name for name in near if (row := self.view.get(name)) and row.live] or self._some(FANOUT)
+        for name in self._rng.sample(near, min(FANOUT, len(near))):
+            if rows := self._spread.take(self.options.told, len(self.view.ring)):
+                self._send_rows(name, rows)
+        self._gossip_at = now + self.options.gossip_ms if len(self._spread) and near else INF
+
+    def _pinged(self, sender: str, address: str, ping: m.Ping) -> None:
+        age = self._age
+        row = self.view.get(sender)
+        doubted = (row,) if row and row.state is not State.ALIVE else ()
+        self._send(sender, address, m.Ack(doubted, ping.seq, self.life, age))
+        if ping.origin and ping.origin != sender:
+            self._send(
+                ping.origin, ping.origin_address, m.Ack((), ping.origin_seq, self.life, age, direct=False)
+            )
+
+    @property
+    def _age(self) -> float:
+        return self._due - self._began
+
+    def _sync_wait(self) -> float:
+        """Longer in large fleets: their views are longer, too."""
+        size = max(1.0, math.log2(max(1, len(self.view.ring))) - 4.0)
+        return self.options.sync_ms * size * self._rng.uniform(0.8, 1.2)
+
+    def _ask_all(self, name: str) -> None:
+        if row := self.view.get(name):
+            self._send(name, row.address, m.Sync((), self.view.digest()))
+
+    def _synced(self, now: float, sender: str, address: str, sync: m.Sync) -> None:
+        if sync.step == 0:
+            if sync.digest != self.view.digest():
+                self._tell_all(sender, address, self.view.rows, 1)
+            return
+        if sync.step == 1:
+            told = self._exchanges.setdefault(sender, set())
+            told.update(order_name(row) for row in sync.rows)
+            if sync.last:
+                del self._exchanges[sender]
+                lacks = [row for row in self.view.rows if order_name(row) not in told]
+                if lacks:
+                    self._tell_all(sender, address, lacks, 2)
+                self._joined(now)
+            while len(self._exchanges) > EXCHANGES:
+                del self._exchanges[next(iter(self._exchanges))]
+
+    def _tell_all(self, name: str, address: str, rows: Sequence[Row], step: int) -> None:
+        for at in range(0, len(rows), m.ROWS):
+            part = tuple(rows[at : at + m.ROWS])
+            self._send(name, address, m.Sync(part, 0, step, at + m.ROWS >= len(rows)))
+
+    def _recall(self) -> None:
+        """Ask one that is held dead, or a seed that is not among the living, whether it is there."""
+        alive = {known.row.address for known in self.view.known.values() if known.row.live}
+        found = [(row.name, row.address) for row in self.view.rows if row.state is State.DEAD]
+        found += [seed for seed in self.seeds if seed[1] not in alive]
+        if found:
+            name, address = self._rng.choice(found)
+            self._send(name, address, m.Sync((), self.view.digest()))
+
+    def _forget(self, now: float) -> None:
+        for name, known in list(self.view.known.items()):
+            if not known.row.live and now - known.since > self.options.keep_ms:
+                self.view.forget(name)
+
+
+def order_name(row: Row) -> Told:
+    """What tells a row apart from others, but for who accuses."""
+    return row.name, order(row)
--- /dev/null
+++ b/basaltpoint/peers/spread.py
@@ -0,0 +1,37 @@
+"""Which rows are told on, and how often: a number of times that grows with the fleet's logarithm."""
+
+from __future__ import annotations
+
+from basaltpoint.peers.messages import Row
+
+TIMES = 3  # of the binary logarithm of the members: at a fifth of messages lost, and more, all still hear
+MOST = 512  # rows that wait; beyond, the one told most often goes, and full exchanges mend what it costs
+
+
+class Spread:
+    """Rows waiting to be told on; the least told go first."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, tuple[Row, int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, row: Row) -> None:
+        """Tell a row, instead of any older one about the same member."""
+        self._waiting[row.name] = row, 0
+        if len(self._waiting) > MOST:
+            del self._waiting[max(self._waiting, key=lambda name: self._waiting[name][1])]
+
+    def take(self, most: int, members: int) -> tuple[Row, ...]:
+        """Up to `most` rows for one message; what was told often enough is forgotten."""
+        if not self._waiting:
+            return ()
+        enough = TIMES * max(1, members).bit_length()
+        chosen = sorted(self._waiting.items(), key=lambda item: item[1][1])[:most]
+        for name, (row, told) in chosen:
+            if told + 1 >= enough:
+                del self._waiting[name]
+            else:
+                self._waiting[name] = row, told + 1
+        return tuple(row for _, (row, _) in chosen)
--- /dev/null
+++ b/basaltpoint/rehearsal/events.py
@@ -0,0 +1,37 @@
+"""What happened in a rehearsal, as plain records: the checks are pure functions over them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Saw:
+    """A member's view of another changed. Times are seconds of the rehearsal."""
+
+    at_s: float
+    by: str
+    name: str
+    incarnation: int
+    state: str  # joining, alive, suspect, dead, left; gone where a view no longer holds the name
+
+
+@dataclass(frozen=True, slots=True)
+class Life:
+    """A process from its start to its end; infinite where it was still there."""
+
+    name: str
+    began_s: float
+    ended_s: float
+    told: bool = False  # it ended in good order, and said so
+    incarnation: int = 0  # its first: what is said of a lower one is said of an earlier life
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Something that must not be."""
+
+    at_s: float
+    kind: str
+    members: tuple[str, ...]
+    expected: str
--- /dev/null
+++ b/basaltpoint/rehearsal/faults.py
@@ -0,0 +1,145 @@
+"""Faults as values: kind, when, on whom. The model and the real processes play the same."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Kind(Enum):
+    """What is done to members, or to the messages from some to others."""
+
+    CUT = "cut"  # messages from `from` to `to` are lost
+    SPLIT = "split"  # no message passes between `sides`
+    DROP = "drop"  # a part of the messages is lost
+    DELAY = "delay"  # messages come later, in their order
+    STALL = "stall"  # connections stay, nothing moves
+    RESET = "reset"  # connections are reset, once
+    PAUSE = "pause"  # SIGSTOP, SIGCONT
+    KILL = "kill"  # SIGKILL, started again after `for_s`
+    STOP = "stop"  # SIGTERM, the same
+    WIPE = "wipe"  # killed, its folder lost, started again
+    PUTBACK = "putback"  # killed, an older copy of its folder, started again
+    DRAIN = "drain"  # a server's drain is told to the limiter `on`
+    UNDRAIN = "undrain"
+
+
+LINKS = (Kind.CUT, Kind.SPLIT, Kind.DROP, Kind.DELAY, Kind.STALL, Kind.RESET)
+PROCESSES = (Kind.PAUSE, Kind.KILL, Kind.STOP, Kind.WIPE, Kind.PUTBACK)
+SERVERS = (Kind.DRAIN, Kind.UNDRAIN)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault; times are seconds of the rehearsal."""
+
+    kind: Kind
+    at_s: float
+    end_s: float  # infinite: to the end
+    on: tuple[str, ...] = ()
+    sources: tuple[str, ...] = ()
+    targets: tuple[str, ...] = ()
+    sides: tuple[tuple[str, ...], ...] = ()
+    part: float = 1.0  # of the messages that are lost
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    server: str = ""
+
+    def between(self, source: str, target: str) -> bool:
+        """Whether it is on the way from one to the other."""
+        if self.kind is Kind.SPLIT:
+            one, other = (
+                next((at for at, side in enumerate(self.sides) if name in side), -1)
+                for name in (source, target)
+            )
+            return one != other and one >= 0 and other >= 0
+        return source in self.sources and target in self.targets
+
+    def text(self) -> str:
+        """In a few words, for reports."""
+        if self.kind is Kind.SPLIT:
+            who = " | ".join(" ".join(side) for side in self.sides)
+        elif self.kind in LINKS:
+            who = f"{' '.join(self.sources)} to {' '.join(self.targets)}"
+        else:
+            who = " ".join([*self.on, self.server]).strip()
+        return f"{self.kind.value} {who}"
+
+
+@dataclass(slots=True)
+class Way:
+    """What holds on the way from one to another now."""
+
+    lost: float = 0.0  # part of the messages
+    stalled: bool = False
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+
+    @property
+    def cut(self) -> bool:
+        """Whether nothing passes: no connection can be made either."""
+        return self.lost >= 1.0 or self.stalled
+
+
+@dataclass(slots=True)
+class Spoilt:
+    """The faults on links that hold now."""
+
+    faults: list[Fault] = field(default_factory=list)
+
+    def way(self, source: str, target: str) -> Way:
+        made = Way()
+        for fault in self.faults:
+            if not fault.between(source, target):
+                continue
+            match fault.kind:
+                case Kind.CUT | Kind.SPLIT:
+                    made.lost = 1.0
+                case Kind.DROP:
+                    made.lost = 1.0 - (1.0 - made.lost) * (1.0 - fault.part)
+                case Kind.STALL:
+                    made.stalled = True
+                case Kind.DELAY:
+                    made.delay_s += fault.delay_s
+                    made.jitter_s += fault.jitter_s
+                case _:
+                    pass
+        return made
+
+
+def last_end(faults: Iterable[Fault], seconds: float) -> float:
+    """When the last fault is over, where one ends at all."""
+    ends = [fault.at_s if fault.kind is Kind.RESET else fault.end_s for fault in faults]
+    return max((min(end, seconds) for end in ends), default=0.0)
+
+
+def drawn(rng: random.Random, names: list[str], seconds: float, count: int) -> list[Fault]:
+    """Faults of all kinds at random, each over before the last third."""
+    found = []
+    for _ in range(count):
+        at = rng.uniform(0.1, 0.4) * seconds
+        end = at + rng.uniform(0.01, 0.25) * seconds
+        kind = rng.choice([*LINKS, Kind.PAUSE, Kind.KILL, Kind.STOP])
+        some = rng.sample(names, rng.randint(1, max(1, len(names) // 2)))
+        rest = [name for name in names if name not in some] or names
+        match kind:
+            case Kind.SPLIT:
+                found.append(Fault(kind, at, end, sides=(tuple(some), tuple(rest))))
+            case Kind.PAUSE | Kind.KILL | Kind.STOP:
+                found.append(Fault(kind, at, end, on=tuple(some)))
+            case _:
+                found.append(
+                    Fault(
+                        kind,
+                        at,
+                        end,
+                        sources=tuple(some),
+                        targets=tuple(rest),
+                        part=rng.uniform(0.05, 0.5) if kind is Kind.DROP else 1.0,
+                        delay_s=rng.uniform(0.0, 0.2),
+                        jitter_s=rng.uniform(0.0, 0.2),
+                    )
+                )
+    return found
--- a/basaltpoint/store/protocol.py
+++ b/basaltpoint/store/protocol.py
@@ -1,4 +1,4 @@
-"""What goes over the store's connections after the greeting: clients' requests and answers, peers' messages."""
+"""What goes over the store's connections after the greeting: requests, answers, messages of replicas."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,217 @@
+"""Who is there: rows under their join, and the machine in virtual time under faults drawn at random."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basaltpoint.peers.messages import LAST, PEERS, Ask, Gossip, Ping, Row, State, Sync, Unknown
+from basaltpoint.peers.options import Options
+from basaltpoint.peers.prober import RELAYS
+from basaltpoint.peers.spread import Spread
+from basaltpoint.peers.view import View, join, order, sound
+from basaltpoint.rehearsal import checks
+from basaltpoint.rehearsal.faults import Fault, Kind, drawn, last_end
+from basaltpoint.rehearsal.model import Model
+
+ROWS = st.builds(
+    Row,
+    st.just("a"),
+    st.sampled_from(["x:1", "y:2"]),
+    st.integers(1, 4),
+    st.sampled_from(State),
+    st.integers(1, 3),
+    by=st.sampled_from(["", "b", "c"]),
+    refused=st.booleans(),
+    report=st.integers(0, 2),
+)
+
+
+def play(count: int, faults: list[Fault], seconds: float, seed: int = 1, **options: object) -> Model:
+    names = [f"l{at + 1}" for at in range(count)]
+    model = Model(names, Options(**options), faults, seed)  # type: ignore[arg-type]
+    model.run(seconds)
+    return model
+
+
+def settled(model: Model, seconds: float) -> float:
+    """How long after the last fault all agreed; fails where they did not, or a rule was broken."""
+    lives, saws = model.all_lives, model.saws
+    from_s = last_end(model.faults, seconds)
+    took, findings = checks.agreed(lives, saws, from_s, seconds)
+    findings += checks.back_to_life(lives, saws) + checks.held_dead_by_all(lives, saws, model.faults, seconds)
+    assert not findings and not model.ended
+    return took
+
+
+# --- Rows ----------------------------------------------------------------------------------------------
+@given(ROWS, ROWS, ROWS)
+def test_the_join_is_the_same_in_any_order_and_any_number_of_times(a: Row, b: Row, c: Row) -> None:
+    assert join(a, b) == join(b, a)
+    assert join(join(a, b), c) == join(a, join(b, c))
+    assert join(a, a) == a
+    assert order(join(a, b)) == max(order(a), order(b))
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        Row("a", "x:1", 0, State.ALIVE, 1),
+        Row("a", "x:1", LAST, State.ALIVE, 1),
+        Row("", "x:1", 1, State.ALIVE, 1),
+        Row("a" * 65, "x:1", 1, State.ALIVE, 1),
+        Row("a", "x" * 129, 1, State.ALIVE, 1),
+        Row("a", "x:1", 1, State.ALIVE, 1, unreached=("b",) * 9),
+    ],
+)
+def test_a_row_out_of_bounds_is_refused_with_the_reason(row: Row) -> None:
+    assert "allowed" in sound(row) or "longer" in sound(row) or "more than" in sound(row)
+
+
+def test_fields_and_messages_of_a_newer_version_are_borne() -> None:
+    newer = msgspec.msgpack.encode(["g", [["a", "x:1", 1, 1, 1, "", False, 0, [], "later"]], "later"])
+    assert PEERS.decode(memoryview(newer)) == Gossip((Row("a", "x:1", 1, State.ALIVE, 1),))
+    assert PEERS.decode(memoryview(msgspec.msgpack.encode(["zz", 1]))) == Unknown()
+    with pytest.raises(msgspec.DecodeError):
+        PEERS.decode(memoryview(msgspec.msgpack.encode(["p", "no rows"])))
+
+
+@given(st.integers(2, 300))
+def test_each_is_watched_by_as_many_as_it_watches(count: int) -> None:
+    view = View("m0")
+    for at in range(count):
+        view.put(0.0, Row(f"m{at}", f"x:{at}", 1, State.ALIVE, 1))
+    watched = view.watched()
+    assert len(watched) == len(set(watched)) == (count - 1).bit_length() and "m0" not in watched
+
+
+@given(st.integers(0, 40), st.integers(1, 8))
+def test_news_is_told_often_enough_and_then_no_more(rows: int, most: int) -> None:
+    spread, told = Spread(), dict[str, int]()
+    for at in range(rows):
+        spread.add(Row(f"m{at}", "x:1", 1, State.ALIVE, 1))
+    while taken := spread.take(most, 12):
+        assert len(taken) <= most
+        for row in taken:
+            told[row.name] = told.get(row.name, 0) + 1
+    assert len(told) == rows and set(told.values()) <= {12} and not len(spread)
+
+
+# --- The machine ---------------------------------------------------------------------------------------
+@pytest.mark.parametrize("count", [3, 12, 40])
+@pytest.mark.parametrize("seed", range(4))
+def test_after_faults_at_random_all_agree_and_no_incarnation_lives_again(count: int, seed: int) -> None:
+    rng = random.Random(seed)
+    faults = drawn(rng, [f"l{at + 1}" for at in range(count)], 90.0, 4)
+    settled(play(count, faults, 180.0, seed), 180.0)
+
+
+@pytest.mark.parametrize("count", [2, 3, 12, 40])
+def test_a_kill_is_known_to_all_within_seconds(count: int) -> None:
+    model = play(count, [Fault(Kind.KILL, 10.0, math.inf, on=(f"l{count}",))], 30.0)
+    settled(model, 30.0)
+    (kill,) = checks.kills(model.all_lives, model.saws, 30.0)
+    assert not kill.missing and max(kill.detected_s.values()) < 2.5
+
+
+@pytest.mark.parametrize("on", [("l2",), ("l2", "l3", "l5")])
+@pytest.mark.parametrize("pause_s", [3.0, 10.0, 60.0])
+def test_who_stood_still_says_of_nobody_that_it_is_gone(on: tuple[str, ...], pause_s: float) -> None:
+    model = play(5, [Fault(Kind.PAUSE, 10.0, 10.0 + pause_s, on=on)], 120.0)
+    settled(model, 120.0)
+    awake = checks.wrong_deaths(model.all_lives, model.saws)
+    assert all(finding.members[1] in on for finding in awake)
+    if pause_s <= 5.0:
+        assert not awake
+
+
+def test_a_member_that_hears_but_is_not_heard_by_one_is_not_dead_and_the_cut_is_told() -> None:
+    model = play(5, [Fault(Kind.CUT, 10.0, 70.0, sources=("l2",), targets=("l1",))], 60.0)
+    assert not checks.wrong_deaths(model.all_lives, model.saws)
+    told = {cut[:2] for cut in model.nodes["l4"].peers.view.cuts()}
+    assert ("l1", "l2") in told or ("l2", "l1") in told
+    model.run(120.0)
+    assert not list(model.nodes["l4"].peers.view.cuts())
+
+
+def test_a_ring_of_one_sided_cuts_kills_nobody() -> None:
+    names = [f"l{at + 1}" for at in range(5)]
+    ring = [
+        Fault(Kind.CUT, 10.0, 70.0, sources=(name,), targets=(names[(at + 1) % 5],))
+        for at, name in enumerate(names)
+    ]
+    model = play(5, ring, 120.0)
+    settled(model, 120.0)
+    assert not checks.wrong_deaths(model.all_lives, model.saws)
+
+
+def test_two_halves_agree_again_whatever_became_of_each() -> None:
+    sides = (("l1", "l2"), ("l3", "l4", "l5"))
+    faults = [
+        Fault(Kind.SPLIT, 10.0, 60.0, sides=sides),
+        Fault(Kind.KILL, 20.0, math.inf, on=("l2",)),
+        Fault(Kind.STOP, 25.0, 45.0, on=("l3",)),
+        Fault(Kind.KILL, 30.0, 50.0, on=("l4",)),
+    ]
+    assert settled(play(5, faults, 120.0), 120.0) < 15.0
+
+
+def test_the_later_of_two_processes_with_one_name_ends_and_says_why() -> None:
+    model = play(3, [], 10.0)
+    late = model._make("l2", "other:1", 7, 9999, [("l1", "l1")], Options(), random.Random(1), 10_000.0)
+    late.tick(10_000.0)
+    late.heard(
+        10_001.0,
+        "l1",
+        "l1",
+        Sync(model.nodes["l1"].peers.view.rows, 0, 1),
+    )
+    late.take()
+    late.rival(10_002.0, model.nodes["l2"].peers.life, 10_000.0)
+    (end,) = [action for action in late.take() if type(action).__name__ == "End"]
+    assert "the name l2 is in use at l2" in end.reason and late.ended
+
+
+def test_a_liar_costs_a_bounded_amount_and_its_victim_contradicts_it() -> None:
+    model = play(5, [], 10.0)
+    node = model.nodes["l1"]
+    lies = tuple(Row(f"x{at}", f"x:{at}", 5, State.ALIVE, 1) for at in range(2000))
+    for at in range(0, 2000, 100):
+        node.peers.heard(10_000.0, "l5", "l5", Gossip(lies[at : at + 100]))
+    assert len(node.peers.view.known) <= 4 * Options().most
+    victim = model.nodes["l2"].peers.view.get("l2")
+    assert victim
+    dead = Row("l2", "l2", victim.incarnation, State.DEAD, victim.life, "l5")
+    node.peers.heard(10_000.0, "l5", "l5", Gossip((dead,)))
+    model._after(node)
+    model.run(15.0)
+    row = node.peers.view.get("l2")
+    assert row and row.state is State.ALIVE and row.incarnation > victim.incarnation
+
+
+def test_an_operators_removal_needs_force_where_somebody_may_still_reach_it() -> None:
+    model = play(3, [], 10.0)
+    node = model.nodes["l1"]
+    assert "--force" in node.peers.remove(10_000.0, "l2", False)
+    assert "known are" in node.peers.remove(10_000.0, "l9", False)
+    assert node.peers.remove(10_000.0, "l2", True) == ""
+    model._after(node)
+    model.run(12.0)
+    assert [(name, why) for _, name, why in model.ended] == [("l2", "l1 declared this member gone")]
+
+
+def test_a_message_stays_short_and_a_member_that_floods_asks_for_no_more_than_its_share() -> None:
+    model = play(40, [], 10.0)
+    node = model.nodes["l1"]
+    for seq in range(2 * RELAYS):
+        node.peers.heard(10_000.0, "l5", "l5", Ask((), seq, "l7", "l7"))
+    assert len(node.peers.prober.relays) == RELAYS
+    assert (
+        sum(type(a).__name__ == "Send" and isinstance(a.message, Ping) for a in node.peers.take())
+        <= RELAYS + 1
+    )  # type: ignore[union-attr]
