No files import each other in a circle; the store's follower and side have names of their own

Need: keeper, kept and held could not be told apart; two pairs of files needed each other for types. Change: store_follower, store_side, shared_state; small Protocols (Carrier, Limiter) in the lower files; the architecture test finds circles of files, those for types alone too.

--- a/basaltpoint/cli.py
+++ b/basaltpoint/cli.py
@@ -17,7 +17,7 @@
     from basaltpoint.config.build import load
     from basaltpoint.config.decode import FileError, read_sound
     from basaltpoint.config.shared import shared_tables
-    from basaltpoint.daemon.held import check_local
+    from basaltpoint.daemon.shared_state import check_local
 
     try:
         raw = read_sound(args.config)
--- a/basaltpoint/daemon/document.py
+++ b/basaltpoint/daemon/document.py
@@ -11,7 +11,7 @@
 from basaltpoint.config import storage as storages
 from basaltpoint.config.decode import Collector, FileError
 from basaltpoint.config.shared import parse_document
-from basaltpoint.daemon.held import DOCUMENT, DRAIN, PREFIX, SERVER, check_document
+from basaltpoint.daemon.shared_state import DOCUMENT, DRAIN, PREFIX, SERVER, check_document
 from basaltpoint.store.client import Client
 from basaltpoint.store.command import add_common, ask
 from basaltpoint.store.machine import Check, Put
--- a/basaltpoint/daemon/held.py
+++ b/basaltpoint/daemon/shared_state.py
@@ -38,7 +38,7 @@
 NOTHING = Change(False, False)
 
 
-class Held:
+class SharedState:
     """The keys, each with the revision that set it: what comes late or twice changes nothing."""
 
     def __init__(self) -> None:
--- a/basaltpoint/daemon/standalone.py
+++ b/basaltpoint/daemon/standalone.py
@@ -18,9 +18,9 @@
 from basaltpoint.config.decode import Collector, FileError, Problem, read_sound, shown
 from basaltpoint.config.schema import FleetTable
 from basaltpoint.daemon.fleet import Fleet
-from basaltpoint.daemon.held import limiter_name
-from basaltpoint.daemon.keeper import Keeper, StartError
-from basaltpoint.daemon.kept import Kept
+from basaltpoint.daemon.shared_state import limiter_name
+from basaltpoint.daemon.store_follower import StartError, StoreFollower
+from basaltpoint.daemon.store_side import StoreSide
 from basaltpoint.fronts.http.connection import ClientConnection
 from basaltpoint.fronts.http.relay import Relay
 
@@ -38,10 +38,13 @@
         self.path = path
         self._numbers = Numbers()
         self.setup: Setup
-        self.keeper: Keeper | None = None
+        self.keeper: StoreFollower | None = None
         raw = read_sound(path)
         if "store" in raw:
-            self.keeper, self._kept = Keeper(storage.parse(raw, path), path, limiter_name(raw)), Kept(self)
+            self.keeper, self._kept = (
+                StoreFollower(storage.parse(raw, path), path, limiter_name(raw)),
+                StoreSide(self),
+            )
         else:
             self.setup = build.assemble(raw, path, Collector(str(path)), self._numbers)
         self.ended = ""  # why this process can't go on
--- a/basaltpoint/daemon/keeper.py
+++ b/basaltpoint/daemon/store_follower.py
@@ -24,7 +24,7 @@
 from basaltpoint.config.schema import Start
 from basaltpoint.config.storage import Storage
 from basaltpoint.daemon.balances import BUDGET, Balance, Balances, SignOfLife, down
-from basaltpoint.daemon.held import DOCUMENT, PREFIX, Change, Held, first_document
+from basaltpoint.daemon.shared_state import DOCUMENT, PREFIX, Change, SharedState, first_document
 from basaltpoint.store import setting
 from basaltpoint.store.client import StoreError, UnavailableError
 from basaltpoint.store.machine import Check, CompactedError, Put
@@ -53,12 +53,12 @@
     values: dict[str, bytes]
 
 
-class Keeper:
+class StoreFollower:
     """One limiter's store."""
 
     def __init__(self, storage: Storage, path: Path, name: str) -> None:
         self.storage, self.path, self.name = storage, path, name
-        self.held = Held()
+        self.held = SharedState()
         self.client = setting.client(storage)
         self.revision = 0
         self.down_s = 0.0
--- a/basaltpoint/daemon/kept.py
+++ b/basaltpoint/daemon/store_side.py
@@ -5,31 +5,42 @@
 import logging
 import math
 import time
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from basaltpoint import interface as api
+from basaltpoint.config.build import Setup
 from basaltpoint.config.decode import FileError
 from basaltpoint.daemon.balances import Balance, Balances, recall
-from basaltpoint.daemon.held import Change
-from basaltpoint.daemon.keeper import Keeper, RelayView
-
-if TYPE_CHECKING:
-    from basaltpoint.daemon.standalone import Standalone
+from basaltpoint.daemon.shared_state import Change
+from basaltpoint.daemon.store_follower import RelayView, StoreFollower
+from basaltpoint.fronts.http.relay import Relay
 
 log = logging.getLogger("basaltpoint")
 
 
-class Kept(RelayView):
+class Limiter(Protocol):
+    """What follows the store: its configuration, and how to go over to another."""
+
+    setup: Setup
+    relay: Relay
+
+    def from_store(self) -> Setup:
+        """What the store holds, with this limiter's own file; FileError."""
+
+    def take_up(self, setup: Setup) -> None: ...
+
+
+class StoreSide(RelayView):
     """One limiter's."""
 
-    def __init__(self, limiter: Standalone) -> None:
+    def __init__(self, limiter: Limiter) -> None:
         self._limiter = limiter
         self.balances = Balances()
         self._looked = -math.inf  # when accounts were looked through last, of the module's clock
         self._numbers: dict[int, str] = {}
         self._problem = ""  # of the document that could not be used
 
-    def begin(self, keeper: Keeper) -> None:
+    def begin(self, keeper: StoreFollower) -> None:
         """Give back what an earlier life left, and follow the store from now on."""
         self._keeper = keeper
         self._name_accounts()
--- a/basaltpoint/fronts/http/passage.py
+++ b/basaltpoint/fronts/http/passage.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from basaltpoint.core.table import Ending, Reply
 from basaltpoint.fronts.http import message
@@ -14,9 +14,6 @@
 from basaltpoint.upstream.servers import Answer
 from basaltpoint.upstream.streams import StreamAnswers, StreamAttempt
 
-if TYPE_CHECKING:
-    from basaltpoint.fronts.http.relay import Relay
-
 HELD = 64 * 1024  # bytes of an answer that may be repeated, kept in case no repeat follows
 REPEATED = (502, 503, 504)  # a server's word that it could not; another may
 
@@ -37,11 +34,30 @@
 }
 
 
+class Carrier(Protocol):
+    """What a passage asks of the relay that it belongs to."""
+
+    name: bytes
+    buffer: int  # bytes of a streamed body held for a slow reader
+
+    def hold(self, size: int) -> bool:
+        """Take memory for bytes of a body; False where there is none left."""
+
+    def release(self, size: int) -> None: ...
+    def take(self, passage: Passage) -> None: ...
+    def abandon(self, passage: Passage) -> None: ...
+    def begun(self, passage: Passage) -> None: ...
+    def uploading(self, passage: Passage) -> None: ...
+    def uploaded(self, passage: Passage) -> None: ...
+    def ended(self, passage: Passage, status: Status, final: bool) -> None: ...
+    def advice(self, passage: Passage, effect: Reply) -> Headers: ...
+
+
 class Passage:
     """One request on its way: its body in, attempts out, its answer back."""
 
     def __init__(
-        self, relay: Relay, connection: ClientConnection, request: Request, route: Route, account: Account
+        self, relay: Carrier, connection: ClientConnection, request: Request, route: Route, account: Account
     ) -> None:
         self.relay = relay
         self.connection = connection
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -73,6 +73,28 @@
     assert not wrong
 
 
+def test_no_files_import_each_other_in_a_circle() -> None:
+    """Those that are imported for their types alone count, too."""
+    files = {
+        ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__"): path
+        for path in PACKAGE.rglob("*.py")
+    }
+    needs = {
+        module: {
+            target if target in files else target.rpartition(".")[0]
+            for target in imports(path)
+            if target in files or target.rpartition(".")[0] in files
+        }
+        - {module}
+        for module, path in files.items()
+    }
+    while free := [module for module, targets in needs.items() if not targets & needs.keys()]:
+        for module in free:
+            del needs[module]
+    circles = {module: targets & needs.keys() for module, targets in needs.items()}
+    assert not circles
+
+
 def loaded(command: str) -> set[str]:
     code = f"import sys; before = set(sys.modules); {command}; print(*set(sys.modules) - before)"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
--- a/tests/test_store_daemon.py
+++ b/tests/test_store_daemon.py
@@ -19,20 +19,20 @@
 from storeprocs import PATIENCE_S, Cluster, cluster
 
 from basaltpoint.config.decode import FileError, read_sound
-from basaltpoint.daemon import keeper as keepers
+from basaltpoint.daemon import store_follower as keepers
 from basaltpoint.daemon.balances import Balance, Balances, SignOfLife, down, recall
-from basaltpoint.daemon.held import (
+from basaltpoint.daemon.shared_state import (
     DOCUMENT,
     DRAIN,
     SERVER,
     Change,
-    Held,
+    SharedState,
     check_document,
     check_local,
     limiter_name,
 )
-from basaltpoint.daemon.keeper import StartError
 from basaltpoint.daemon.standalone import Standalone
+from basaltpoint.daemon.store_follower import StartError
 from basaltpoint.interface import Plan, Standing
 from basaltpoint.load import coordinator, scenario
 from basaltpoint.load.command import read_asked, read_attempts
@@ -236,7 +236,7 @@
 
 
 def test_what_comes_late_or_twice_changes_nothing() -> None:
-    held = Held()
+    held = SharedState()
     assert held.load({DRAIN + "a": b"1"}, 5) == Change(False, True)
     assert held.take([(4, DRAIN + "a", None)]) == Change(False, False) and held.drains == {"a"}
     assert held.take([(6, DRAIN + "a", None)]) == Change(False, True)
