--- a/basaltpoint/peers/machine.py
+++ b/basaltpoint/peers/machine.py
@@ -15,6 +15,7 @@
 
 from basaltpoint.peers import actions as act
 from basaltpoint.peers import messages as m
+from basaltpoint.peers.exchange import Exchange
 from basaltpoint.peers.messages import LAST, Row, State
 from basaltpoint.peers.options import Options
 from basaltpoint.peers.prober import Prober
@@ -24,11 +25,8 @@
 from basaltpoint.peers.view import View, join, order, sound
 
 INF = math.inf
-Told = tuple[str, tuple[int, int, int, int]]
-
 GONE = 1_000_000  # by which a removal stands above a member's incarnation; a later process goes above that
 FANOUT = 4  # members that news goes to in one round
-EXCHANGES = 4  # full exchanges under way at once
 FORGET_MS = 10_000.0  # between two looks for rows that are old enough to go
 
 
@@ -61,9 +59,9 @@
         self._suspicions: dict[str, Suspicion] = {}
         self._rivals = Rivals(options)
         self._linked: dict[str, None] = {}  # members with a connection now
-        self._exchanges: dict[str, set[Told]] = {}  # what an answer has told of, by who tells
+        self._exchange = Exchange(self.view, options, rng, self._send)
         self._gossip_at = INF
-        self._sync_at = now + self._sync_wait()
+        self._sync_at = now + self._exchange.wait_ms()
         self._recall_at = now + options.recall_ms
         self._forget_at = now + FORGET_MS
         self._join_at = now
@@ -120,9 +118,9 @@
         if now >= self._gossip_at:
             self._gossip(now)
         if now >= self._sync_at:
-            self._sync_at = now + self._sync_wait()
-            if others := self.view.others():
-                self._ask_all(self._rng.choice(others))
+            self._sync_at = now + self._exchange.wait_ms()
+            if row := self.view.get(next(iter(self._some(1)), "")):
+                self._exchange.ask(row.name, row.address)
         if now >= self._recall_at:
             self._recall_at = now + self.options.recall_ms
             self._recall()
@@ -150,7 +148,8 @@
             case m.Nack():
                 self.prober.nacked(now, sender, message)
             case m.Sync():
-                self._synced(now, sender, address, message)
+                if self._exchange.came(sender, address, message):
+                    self._joined(now)
         if self.prober.news:
             self._report(now)
 
@@ -377,7 +376,7 @@
         else:
             self._join_at = min(now + self.options.join_ms, self.began + self.options.alone_ms)
             for name, address in self.seeds:
-                self._send(name, address, m.Sync((), self.view.digest()))
+                self._exchange.ask(name, address)
 
     def _joined(self, now: float) -> None:
         """Somebody has told all that it knows."""
@@ -461,52 +460,10 @@
     def _age(self) -> float:
         return self._now - self.began
 
-    def _sync_wait(self) -> float:
-        """Longer in large fleets: their views are longer, too."""
-        size = max(1.0, math.log2(max(1, len(self.view.ring))) - 4.0)
-        return self.options.sync_ms * size * self._rng.uniform(0.8, 1.2)
-
-    def _ask_all(self, name: str) -> None:
-        if row := self.view.get(name):
-            self._send(name, row.address, m.Sync((), self.view.digest()))
-
-    def _synced(self, now: float, sender: str, address: str, sync: m.Sync) -> None:
-        if sync.step == 0:
-            if sync.digest != self.view.digest():
-                self._tell_all(sender, address, self.view.rows, 1)
-            return
-        if sync.step == 1:
-            told = self._exchanges.setdefault(sender, set())
-            told.update(order_name(row) for row in sync.rows)
-            if sync.last:
-                del self._exchanges[sender]
-                lacks = [row for row in self.view.rows if order_name(row) not in told]
-                if lacks:
-                    self._tell_all(sender, address, lacks, 2)
-                self._joined(now)
-            while len(self._exchanges) > EXCHANGES:
-                del self._exchanges[next(iter(self._exchanges))]
-
-    def _tell_all(self, name: str, address: str, rows: Sequence[Row], step: int) -> None:
-        for at in range(0, len(rows), m.ROWS):
-            part = tuple(rows[at : at + m.ROWS])
-            self._send(name, address, m.Sync(part, 0, step, at + m.ROWS >= len(rows)))
-
     def _recall(self) -> None:
-        """Ask one that is held dead, or a seed that is not among the living, whether it is there."""
-        alive = {known.row.address for known in self.view.known.values() if known.row.live}
-        found = [(row.name, row.address) for row in self.view.rows if row.state is State.DEAD]
-        found += [seed for seed in self.seeds if seed[1] not in alive]
-        if found:
-            name, address = self._rng.choice(found)
-            self._send(name, address, m.Sync((), self.view.digest()))
+        self._exchange.recall(self.seeds)
 
     def _forget(self, now: float) -> None:
         for name, known in list(self.view.known.items()):
             if not known.row.live and now - known.since > self.options.keep_ms:
                 self.view.forget(name)
-
-
-def order_name(row: Row) -> Told:
-    """What tells a row apart from others, but for who accuses."""
-    return row.name, order(row)
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -44,8 +44,10 @@
             self._own(now, State.ALIVE)
         self._beat_at = now + self.options.probe_ms
         names = dict.fromkeys([*self.view.others(), *(name for name, _ in self.seeds)])
+        # Who there is comes from all rows, told at the start only: no list of all is given to anybody.
+        rows = self.view.rows if now - self.began < 10_000.0 else (self._row,)
         for name in names:
-            self._out.append(act.Send(name, name, m.Gossip((self._row,))))
+            self._out.append(act.Send(name, name, m.Gossip(rows)))
         bound = self.options.silent_ms * max(1.0, math.log10(len(self.view.ring)))
         for name, known in list(self.view.known.items()):
             if name != self.me and known.row.live and now - max(known.heard, known.since) > bound:
@@ -62,7 +64,8 @@
             held = self.view.get(row.name)
             if held is None or not held.live or held.incarnation < row.incarnation:
                 self._hold(now, row, row.state)
-            self.view.known[row.name].heard = now
+            if row.name == sender or held is None:
+                self.view.known[row.name].heard = now
 
     def lost(self, now: float, name: str) -> None:
         self._now = now
