--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,6 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from basaltpoint.peers.actions import Action, Changed, Send
+from basaltpoint.peers.machine import Peers
 from basaltpoint.peers.messages import LAST, PEERS, Ask, Gossip, Ping, Row, State, Sync, Unknown
 from basaltpoint.peers.options import Options
 from basaltpoint.peers.prober import RELAYS
@@ -215,3 +217,93 @@
         sum(type(a).__name__ == "Send" and isinstance(a.message, Ping) for a in node.peers.take())
         <= RELAYS + 1
     )  # type: ignore[union-attr]
+
+
+# --- Pauses, decision by decision ----------------------------------------------------------------------
+class Lone:
+    """One machine among two others that never answer, called by hand."""
+
+    def __init__(self, seed: int = 1) -> None:
+        options = Options(doubt_most=0)  # its own doubts would stretch every time here
+        self.peers = Peers("l1", "l1", 1, 1000, [], options, random.Random(seed), 0.0)
+        self.now = 0.0
+        self.done: list[Action] = []
+        self.go(1.0)
+        rows = tuple(Row(name, name, 1, State.ALIVE, 5) for name in ("l2", "l3"))
+        self.peers.heard(self.now, "l3", "l3", Gossip(rows))
+
+    def go(self, until: float) -> list[Action]:
+        """Tick whenever it is due; what was to be done."""
+        done: list[Action] = []
+        while True:
+            done += self.peers.take()
+            due = max(self.now, self.peers.next_ms)
+            if due > until:
+                break
+            self.now = due
+            self.peers.tick(self.now)
+        self.now = until
+        return done
+
+    def wake(self, after: float) -> list[Action]:
+        """Stand still, then be called."""
+        self.now += after
+        self.peers.tick(self.now)
+        return self.peers.take()
+
+    def state(self, name: str) -> State:
+        row = self.peers.view.get(name)
+        assert row
+        return row.state
+
+
+def test_a_probe_that_was_out_during_a_pause_accuses_nobody() -> None:
+    lone = Lone()
+    while not any(probe.indirect for probe in lone.peers.prober.probes.values()):
+        lone.go(lone.now + 10.0)
+    assert lone.state("l2") is lone.state("l3") is State.ALIVE
+    lone.wake(10_000.0)
+    assert not any(isinstance(a, Changed) and a.after.state is State.SUSPECT for a in lone.peers.take())
+    assert lone.state("l2") is lone.state("l3") is State.ALIVE
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_doubt_that_ran_out_during_a_pause_is_asked_anew_and_put_off_by_it(seed: int) -> None:
+    lone = Lone(seed)
+    while lone.state("l2") is not State.SUSPECT:
+        lone.go(lone.now + 10.0)
+    doubted = lone.now
+    lone.go(doubted + 2_000.0)
+    woken = lone.wake(30_000.0)
+    assert any(isinstance(a, Send) and a.to == "l2" and isinstance(a.message, Ping) for a in woken)
+    lone.peers.heard(lone.now, "l3", "l3", Gossip())  # so that it is not this member that is cut off
+    # Doubted for 7 s where nobody is left to agree; 30 s of pause and 1 s to ask come on top.
+    lone.go(doubted + 37_500.0)
+    assert lone.state("l2") is State.SUSPECT
+    lone.go(doubted + 60_000.0)
+    assert lone.state("l2") is State.DEAD
+
+
+class Punctual(Peers):
+    """Fails where it takes itself to have stood still, in a model that calls in time."""
+
+    def _wake(self, now: float) -> None:
+        super()._wake(now)
+        assert self.late_ms < 1.0
+
+
+def test_a_doubt_that_grows_shorter_is_not_taken_for_a_pause() -> None:
+    split = Fault(Kind.SPLIT, 10.0, 40.0, sides=(("l1", "l2"), ("l3", "l4", "l5")))
+    for seed in range(4):
+        model = Model(
+            [f"l{at + 1}" for at in range(5)], Options(silent_ms=1500.0), [split], seed, make=Punctual
+        )
+        model.run(60.0)
+        settled(model, 60.0)
+
+
+def test_a_lost_message_now_and_then_is_not_told_as_a_cut_link() -> None:
+    names = tuple(f"l{at + 1}" for at in range(12))
+    model = play(12, [Fault(Kind.DROP, 10.0, 70.0, sources=names, targets=names, part=0.05)], 70.0)
+    assert sum(node.peers.view.known[name].row.report for name, node in model.nodes.items()) < 12
+    assert not checks.wrong_deaths(model.all_lives, model.saws)
