Tests of what mutations of the members' machine showed untested; one way to wait in process tests

Change: a test for each; a pause is an action of the machine; tests/waiting.py; certificates of [store] and [fleet] are checked in one place.

--- a/basaltpoint/config/fleets.py
+++ b/basaltpoint/config/fleets.py
@@ -10,7 +10,7 @@
 from basaltpoint.config.address import ConfigError, parse_address
 from basaltpoint.config.decode import Collector, FileError, decode, read_sound, shown
 from basaltpoint.config.schema import FleetTable
-from basaltpoint.config.storage import Files
+from basaltpoint.config.storage import Files, pem_files
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,12 +58,7 @@
     given = {key: getattr(table, key) for key in ("cert", "key", "authority")}
     if not any(given.values()) and loopback:
         return None
-    for key, text in given.items():
-        if not text:
-            out.add(f"fleet.{key}", "missing", "a PEM file, or a `listen` of the loopback")
-        elif not (base / text).is_file():
-            out.add(f"fleet.{key}", f"found {shown(text)}, which is no file", "a PEM file")
-    return Files(**{key: base / text for key, text in given.items()})
+    return pem_files("fleet", given, base, "a PEM file, or a `listen` of the loopback", out)
 
 
 def parse(raw: dict[str, Any], path: Path) -> FleetSetting:
--- a/basaltpoint/config/storage.py
+++ b/basaltpoint/config/storage.py
@@ -75,17 +75,18 @@
     given = {key: getattr(table, key) for key in ("cert", "key", "authority")}
     if not any(given.values()) and not table.listen and not others:
         return None
-    found = {}
+    why = "a PEM file: replicas and clients on other hosts show certificates"
+    return pem_files("store", given, base, why, out)
+
+
+def pem_files(section: str, given: dict[str, str], base: Path, why: str, out: Collector) -> Files:
+    """The files of `cert`, `key` and `authority`; `why` says what is allowed where one is missing."""
     for key, text in given.items():
-        path = base / text
         if not text:
-            out.add(
-                f"store.{key}", "missing", "a PEM file: replicas and clients on other hosts show certificates"
-            )
-        elif not path.is_file():
-            out.add(f"store.{key}", f"found {shown(text)}, which is no file", "a PEM file")
-        found[key] = path
-    return Files(**found)
+            out.add(f"{section}.{key}", "missing", why)
+        elif not (base / text).is_file():
+            out.add(f"{section}.{key}", f"found {shown(text)}, which is no file", "a PEM file")
+    return Files(**{key: base / text for key, text in given.items()})
 
 
 def load(path: Path) -> Storage:
--- a/basaltpoint/daemon/fleet.py
+++ b/basaltpoint/daemon/fleet.py
@@ -133,6 +133,8 @@
                     self._asking = self._loop.create_task(self._rival(action.address))
                 case act.Named():
                     self._named(action.name, action.text)
+                case act.Paused():
+                    log.warning("fleet: this process stood still for %.1f s", action.for_ms / 1000)
                 case act.End():
                     log.error("fleet: %s", action.reason)
                     self._ended(action.reason)
@@ -152,8 +154,6 @@
     def _tick(self) -> None:
         self._timer = None
         self.peers.tick(self._now())
-        if self.peers.late_ms > self.peers.options.pause_ms:
-            log.warning("fleet: this process stood still for %.1f s", self.peers.late_ms / 1000)
         self._turn()
 
     def _saw(self, change: act.Changed) -> None:
--- a/basaltpoint/peers/actions.py
+++ b/basaltpoint/peers/actions.py
@@ -46,4 +46,11 @@
     text: str
 
 
-Action = Send | Changed | Rival | End | Named
+@dataclass(frozen=True, slots=True)
+class Paused:
+    """This process stood still; for the log."""
+
+    for_ms: float
+
+
+Action = Send | Changed | Rival | End | Named | Paused
--- a/basaltpoint/peers/machine.py
+++ b/basaltpoint/peers/machine.py
@@ -235,6 +235,7 @@
         self.late_ms, self._due, self._now = max(0.0, now - self._due), max(self._due, now), now
         if self.late_ms <= self.options.pause_ms or not self.options.lifeguard:
             return
+        self._out.append(act.Paused(self.late_ms))
         grace = 2 * self.options.probe_ms
         self.prober.stood_still()
         self.prober.doubts(1)
--- a/basaltpoint/rehearsal/model.py
+++ b/basaltpoint/rehearsal/model.py
@@ -208,7 +208,7 @@
                 case act.End():
                     self.ended.append((self.now, node.name, action.reason))
                     self.kill(node.name)
-                case act.Named():
+                case act.Named() | act.Paused():
                     pass
         due = node.peers.next_ms / 1000.0 + ROUND_S
         if node.up and due < node.due:
--- a/tests/storeprocs.py
+++ b/tests/storeprocs.py
@@ -14,13 +14,12 @@
 from pathlib import Path
 
 import trustme
+from waiting import PATIENCE_S
 
 from basaltpoint.links.transport import Tls
 from basaltpoint.store.client import Client, Endpoint, StoreError
 from basaltpoint.store.command import CRASH
 
-PATIENCE_S = 60.0
-
 
 def free_ports(count: int) -> list[int]:
     """Ports that were free a moment ago: members must know each other's before they start."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,12 +9,11 @@
 import os
 import resource
 import signal
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator
 from pathlib import Path
-from typing import Any
 
 import pytest
-import uvloop
+from waiting import PATIENCE_S, run, until
 
 from basaltpoint.cli import main
 from basaltpoint.daemon.fleet_look import look
@@ -24,28 +23,12 @@
 from basaltpoint.rehearsal.faults import Fault, Kind
 from basaltpoint.rehearsal.processes import LIVE, Processes, limiter_tables
 
-PATIENCE_S = 90.0
 STEADY = "silent_ms = 5000\nprobe_ms = 200"  # where a slow machine must not look like a silent member
 FAST = (
     "silent_ms = 1500\nprobe_ms = 200"  # so that the stories take seconds; what holds does not depend on it
 )
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(3 * PATIENCE_S):
-            await test
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
-
-
-async def until(what: Callable[[], bool]) -> None:
-    async with asyncio.timeout(PATIENCE_S):
-        while not what():
-            await asyncio.sleep(0.05)
-
-
 @contextlib.asynccontextmanager
 async def fleet(path: Path, count: int = 3, more: str = FAST, start: bool = True) -> AsyncIterator[Processes]:
     names = [f"l{at + 1}" for at in range(count)]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,12 +10,28 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from basaltpoint.links.frames import pack
 from basaltpoint.peers.actions import Action, Changed, Send
+from basaltpoint.peers.exchange import Exchange
 from basaltpoint.peers.machine import Peers
-from basaltpoint.peers.messages import LAST, PEERS, Ask, Gossip, Ping, Row, State, Sync, Unknown
+from basaltpoint.peers.messages import (
+    FRAME,
+    LAST,
+    PEERS,
+    Ask,
+    Gossip,
+    Message,
+    Ping,
+    Row,
+    State,
+    Sync,
+    Unknown,
+)
 from basaltpoint.peers.options import Options
 from basaltpoint.peers.prober import RELAYS
+from basaltpoint.peers.rivals import Rivals
 from basaltpoint.peers.spread import Spread
+from basaltpoint.peers.suspicion import Suspicion
 from basaltpoint.peers.view import View, join, order, sound
 from basaltpoint.rehearsal import checks
 from basaltpoint.rehearsal.faults import Fault, Kind, drawn, last_end
@@ -307,3 +323,78 @@
     model = play(12, [Fault(Kind.DROP, 10.0, 70.0, sources=names, targets=names, part=0.05)], 70.0)
     assert sum(node.peers.view.known[name].row.report for name, node in model.nodes.items()) < 12
     assert not checks.wrong_deaths(model.all_lives, model.saws)
+
+
+def test_a_refusal_that_nobody_confirms_is_borne_as_silence() -> None:
+    lone = Lone()
+    lone.peers.prober.soon(lone.now, "l2")
+    lone.go(lone.now + 1.0)
+    lone.peers.refused(lone.now, "l2")
+    lone.go(lone.now + 2_000.0)
+    row = lone.peers.view.get("l2")
+    assert row and row.state is State.SUSPECT and not row.refused
+
+
+def test_a_full_exchange_leaves_both_with_what_either_knew() -> None:
+    views = {name: View(name) for name in ("a", "b")}
+    for name, others in (("a", range(0, 300)), ("b", range(100, 400))):
+        for at in others:
+            state = State.DEAD if (at + len(name)) % 7 == 0 else State.ALIVE
+            views[name].put(0.0, Row(f"m{at}", "x:1", 1 + (name == "b") * (at % 2), state, 1))
+    waiting: list[tuple[str, Sync]] = []
+
+    def exchange(name: str) -> Exchange:
+        def tell(to: str, address: str, message: Message) -> None:
+            assert isinstance(message, Sync) and len(pack(message)) < FRAME
+            waiting.append((to, message))
+
+        return Exchange(views[name], Options(), random.Random(1), tell)
+
+    both = {name: exchange(name) for name in views}
+    both["a"].ask("b", "b")
+    while waiting:
+        to, sync = waiting.pop(0)
+        for row in sync.rows:
+            held = views[to].get(row.name)
+            views[to].put(0.0, join(held, row) if held else row)
+        both[to].came("a" if to == "b" else "b", "x", sync)
+    assert (
+        views["a"].digest() == views["b"].digest() and len(views["a"].known) == len(views["b"].known) == 400
+    )
+
+
+def test_a_split_ends_also_where_no_seed_is_told_any_more() -> None:
+    split = Fault(Kind.SPLIT, 10.0, 60.0, sides=(("l1", "l2", "l3"), ("l4", "l5")))
+    model = play(5, [split], 5.0)
+    for node in model.nodes.values():
+        node.peers.reseed(())
+    model.run(120.0)
+    settled(model, 120.0)
+
+
+def test_a_doubt_shrinks_as_others_share_it_and_a_refusal_is_shorter_still() -> None:
+    options = Options()
+    doubt, ends = Suspicion(1, 0.0, False), []
+    for who in ("a", "b", "c", "d"):
+        assert doubt.confirm(who, False) and not doubt.confirm(who, False)
+        ends.append(doubt.end(options, 200))
+    scale = math.log10(200)
+    assert ends == sorted(ends, reverse=True) and len(set(ends)) == 4
+    assert ends[0] == pytest.approx(14_000 * scale) and ends[3] == pytest.approx(7_000 * scale)
+    assert doubt.confirm("a", True) and doubt.end(options, 200) == pytest.approx(400 * scale)
+
+
+def test_one_that_is_cut_off_doubts_itself_and_the_others_do_not() -> None:
+    cut = Fault(Kind.SPLIT, 10.0, 60.0, sides=(("l1",), ("l2", "l3", "l4", "l5")))
+    model = play(5, [cut], 14.0)
+    doubts = {name: node.peers.prober.doubt for name, node in model.nodes.items()}
+    assert doubts["l1"] >= 3 and max(doubts[name] for name in ("l2", "l3", "l4", "l5")) <= 2
+
+
+def test_another_of_ones_name_is_asked_three_times_before_it_is_taken_for_gone() -> None:
+    rivals = Rivals(Options())
+    assert rivals.met(0.0, Row("l1", "x:1", 7, State.ALIVE, 5))
+    assert [rivals.ask(500.0 * at) for at in range(4)] == [True, True, True, False]
+    assert not rivals.pending
+    assert not rivals.met(2_000.0, Row("l1", "x:1", 9, State.ALIVE, 5)) and rivals.incarnation == 9
+    assert rivals.met(6_000.0, Row("l1", "x:1", 9, State.ALIVE, 5))
--- a/tests/test_store_daemon.py
+++ b/tests/test_store_daemon.py
@@ -8,15 +8,14 @@
 import logging
 import math
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator
 from pathlib import Path
-from typing import Any
 
 import pytest
-import uvloop
 from sockets import Backend, Request, backend
 from standalone import KEY, Rig, config, request
 from storeprocs import PATIENCE_S, Cluster, cluster
+from waiting import run, until
 
 from basaltpoint.config.decode import FileError, read_sound
 from basaltpoint.daemon import store_follower as keepers
@@ -42,21 +41,6 @@
 from basaltpoint.store.client import Client, UnavailableError
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(3 * PATIENCE_S):
-            await test
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
-
-
-async def until(what: Callable[[], bool]) -> None:
-    async with asyncio.timeout(PATIENCE_S):
-        while not what():
-            await asyncio.sleep(0.005)
-
-
 async def good(asked: Request) -> None:
     asked.reply()
 
--- a/tests/test_store_pauses.py
+++ b/tests/test_store_pauses.py
@@ -5,26 +5,15 @@
 import asyncio
 import signal
 import time
-from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any
 
-import uvloop
 from storeprocs import PATIENCE_S, Cluster, cluster
+from waiting import run
 
 # Before the client looked after the replica that it asks, each of these took over 8 s; now some 1 s.
 BOUND_S = 5.0
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(3 * PATIENCE_S):
-            await test
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
-
-
 async def first(made: Cluster, leads: bool) -> list[str]:
     """All names, the leader first or last."""
     leader = await made.leader()
--- /dev/null
+++ b/tests/waiting.py
@@ -0,0 +1,29 @@
+"""How tests over several processes wait: on events, with a patience that no verdict hangs on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import uvloop
+
+PATIENCE_S = 90.0
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    """One test on a loop of its own."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(3 * PATIENCE_S):
+            await test
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+async def until(what: Callable[[], bool], look_s: float = 0.005) -> None:
+    """Wait for something to hold, with so long between two looks."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not what():
+            await asyncio.sleep(look_s)
