--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -398,3 +398,13 @@
     assert not rivals.pending
     assert not rivals.met(2_000.0, Row("l1", "x:1", 9, State.ALIVE, 5)) and rivals.incarnation == 9
     assert rivals.met(6_000.0, Row("l1", "x:1", 9, State.ALIVE, 5))
+
+
+def test_one_that_must_contradict_a_doubt_trusts_itself_less() -> None:
+    model = play(3, [], 10.0)
+    peers = model.nodes["l1"].peers
+    own = peers.view.get("l1")
+    assert own and peers.prober.doubt == 0
+    peers.heard(10_000.0, "l2", "l2", Gossip((msgspec.structs.replace(own, state=State.SUSPECT, by="l2"),)))
+    after = peers.view.get("l1")
+    assert after and after.incarnation > own.incarnation and peers.prober.doubt == 1
