Rehearsed limiters listen below the ports that the system gives away by itself

Need: of two runs of the process tests one failed in two stories, one waiting for a process for good. Supposed, not shown: an address found free was taken by a connection of another test before the limiter listened there, as both came from the same range. Change: addresses for limiters are drawn from 20000 to 31999.

--- a/basaltpoint/rehearsal/processes.py
+++ b/basaltpoint/rehearsal/processes.py
@@ -8,6 +8,7 @@
 import json
 import math
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -25,6 +26,7 @@
 from basaltpoint.rehearsal.links import SpoiltLinks
 
 KEY = "rehearsal"  # of the one account, where a scenario names no others
+PORTS = range(20_000, 32_000)
 SEEDS = 3  # members that all know at their start
 END_S = 20.0  # for a process to end after SIGTERM
 
@@ -65,9 +67,15 @@
 
 
 def free_address() -> str:
-    """One that was free a moment ago: a process that returns must come back at the same."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """One that was free a moment ago: a process that returns must come back at the same.
+
+    Below the ports that the system gives to connections of their own accord: else one of these may take it
+    while the process is not there.
+    """
+    while True:
+        port = secrets.choice(PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return f"127.0.0.1:{port}"
 
 
 @dataclass(slots=True)
