Twice-made pieces of the members' code: one word for a sure refusal, no pass whose result is thrown away

Need: reading the change again. Whether a refusal is sure was worked out in three places; the check of agreement built all views once and cleared them; the living states stood in two lists. Change: Probe.sure; the idle pass, a property used once and the second list are gone. Behaviour as it was.

--- a/basaltpoint/peers/machine.py
+++ b/basaltpoint/peers/machine.py
@@ -448,7 +448,7 @@
         self._gossip_at = now + self.options.gossip_ms if len(self._spread) and near else INF
 
     def _pinged(self, sender: str, address: str, ping: m.Ping) -> None:
-        age = self._age
+        age = self._now - self.began
         row = self.view.get(sender)
         doubted = (row,) if row and row.state is not State.ALIVE else ()
         self._send(sender, address, m.Ack(doubted, ping.seq, self.life, age))
@@ -457,10 +457,6 @@
                 ping.origin, ping.origin_address, m.Ack((), ping.origin_seq, self.life, age, direct=False)
             )
 
-    @property
-    def _age(self) -> float:
-        return self._now - self.began
-
     def _recall(self) -> None:
         self._exchange.recall(self.seeds)
 
--- a/basaltpoint/peers/prober.py
+++ b/basaltpoint/peers/prober.py
@@ -29,12 +29,16 @@
     target: str
     began: float
     until: float  # the end of its present stage
-    asked: dict[str, bool | None] = field(
-        default_factory=dict
-    )  # helpers: refused or not; None: not heard yet
+    # Helpers: whether they were refused, too; None: not heard yet.
+    asked: dict[str, bool | None] = field(default_factory=dict)
     indirect: bool = False
     refused: bool = False  # its host refused our connection
 
+    @property
+    def sure(self) -> bool:
+        """Its host refuses us and everybody who was asked."""
+        return self.refused and all(self.asked.values())
+
 
 @dataclass(slots=True)
 class Relay:
@@ -166,7 +170,7 @@
             self._tell(
                 name, self._view.known[name].row.address, Ask((), seq, probe.target, known.row.address)
             )
-        if not probe.asked and probe.refused:
+        if probe.sure:  # there was nobody to ask
             self._end(now, seq, probe)
 
     def _end(self, now: float, seq: int, probe: Probe) -> None:
@@ -175,8 +179,7 @@
         if self._options.lifeguard:
             # Helpers that say nothing are a sign that this member is at fault, not the target.
             self.doubts(unheard if probe.asked else 1)
-        refused = probe.refused and all(probe.asked.values())
-        self._failed(now, probe.target, refused)
+        self._failed(now, probe.target, probe.sure)
 
     def refused(self, now: float, name: str) -> None:
         """A connection to a member was refused, or ended before its greeting."""
@@ -233,7 +236,7 @@
         if probe is None or sender not in probe.asked:
             return
         probe.asked[sender] = nack.refused
-        if probe.refused and all(probe.asked.values()):
+        if probe.sure:
             self._end(now, nack.seq, probe)
 
     # --- For others -----------------------------------------------------------------------------------
--- a/basaltpoint/rehearsal/checks.py
+++ b/basaltpoint/rehearsal/checks.py
@@ -93,11 +93,6 @@
     rows = sorted(saws, key=lambda saw: saw.at_s)
     names = {saw.name for saw in rows} | living
     last = {name: max((o.began_s for o in lives if o.name == name), default=0.0) for name in living}
-    for saw in rows:
-        if saw.by in living and saw.at_s >= last[saw.by]:
-            views[saw.by][saw.name] = saw.state
-    # Once more in order, now that it is known who is to be judged.
-    views.clear()
     for by in living:
         for name in names:
             judge(by, name)
--- a/basaltpoint/rehearsal/processes.py
+++ b/basaltpoint/rehearsal/processes.py
@@ -20,7 +20,6 @@
 from pathlib import Path
 from typing import Any
 
-from basaltpoint.peers import messages as m
 from basaltpoint.rehearsal.events import Life, Saw
 from basaltpoint.rehearsal.faults import Fault, Kind, Spoilt
 from basaltpoint.rehearsal.links import SpoiltLinks
@@ -259,6 +258,3 @@
             if self.members[saw.by].process and saw.at_s >= max(at for at, _ in starts[saw.by]):
                 found.setdefault(saw.by, {})[saw.name] = saw.state
         return found
-
-
-LIVE = {state.name.lower() for state in m.LIVE}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,7 +21,7 @@
 from basaltpoint.peers.messages import Gossip
 from basaltpoint.rehearsal import checks
 from basaltpoint.rehearsal.faults import Fault, Kind
-from basaltpoint.rehearsal.processes import LIVE, Processes, limiter_tables
+from basaltpoint.rehearsal.processes import Processes, limiter_tables
 
 STEADY = "silent_ms = 5000\nprobe_ms = 200"  # where a slow machine must not look like a silent member
 FAST = (
@@ -44,7 +44,7 @@
 
 
 def living(made: Processes, by: str) -> set[str]:
-    return {name for name, state in made.views().get(by, {}).items() if state in LIVE}
+    return {name for name, state in made.views().get(by, {}).items() if state in checks.LIVE}
 
 
 async def agree(made: Processes, *names: str) -> None:
