Each rehearsal's limiters listen on a loopback address of their own

Cause: limiters' ports were drawn apart from those of any other rehearsal on the machine, so two took the same: l8's log said that its address was in use, and the test waited for it for good. Seen twice in the process tests. The ports of one range, drawn before, were no mend of it. Change: a host drawn from 127/8 for each rehearsal, its ports held together while they are chosen.

--- a/basaltpoint/rehearsal/processes.py
+++ b/basaltpoint/rehearsal/processes.py
@@ -25,7 +25,6 @@
 from basaltpoint.rehearsal.links import SpoiltLinks
 
 KEY = "rehearsal"  # of the one account, where a scenario names no others
-PORTS = range(20_000, 32_000)
 SEEDS = 3  # members that all know at their start
 END_S = 20.0  # for a process to end after SIGTERM
 
@@ -65,16 +64,19 @@
     return LIMITER.format(digest=hashlib.sha256(key.encode()).hexdigest(), servers=rows, names=names)
 
 
-def free_address() -> str:
-    """One that was free a moment ago: a process that returns must come back at the same.
+def free_addresses(count: int) -> list[str]:
+    """Addresses for processes that must come back at the same ones.
 
-    Below the ports that the system gives to connections of their own accord: else one of these may take it
-    while the process is not there.
+    On a host of the loopback drawn for this rehearsal alone: neither another rehearsal nor a connection that
+    the system gives a port of its own takes one while its process is not there.
     """
-    while True:
-        port = secrets.choice(PORTS)
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return f"127.0.0.1:{port}"
+    host = ".".join(["127", *(str(1 + secrets.randbelow(250)) for _ in range(3))])
+    held = [socket.create_server((host, 0)) for _ in range(count)]
+    try:
+        return [f"{host}:{sock.getsockname()[1]}" for sock in held]
+    finally:
+        for sock in held:
+            sock.close()
 
 
 @dataclass(slots=True)
@@ -110,11 +112,12 @@
 
     async def prepare(self) -> None:
         """Links and files; nothing is started yet."""
+        free = iter(free_addresses(2 * len(self.names)))
         for name in self.names:
             folder = self.folder / name
             folder.mkdir(parents=True, exist_ok=True)
-            own = free_address()
-            member = Member(name, folder, free_address(), own, await self.links.before(name, own))
+            own = next(free)
+            member = Member(name, folder, next(free), own, await self.links.before(name, own))
             self.members[name] = member
         for member in self.members.values():
             member.file.write_text(self.text(member))
