One question to a member, one way from files to TLS, one run for tests on a loop

Need: reading the change again: the asking of a namesake stood beside that of operators, certificates were put together in four places, the name that a fleet greets for in three; tests/waiting.py had written sockets.run and until anew. Change: fleet_look.ask serves both; Tls.of; FleetSetting.cluster and address; sockets use waiting's run, with their 30 s as before.

--- a/basaltpoint/config/fleets.py
+++ b/basaltpoint/config/fleets.py
@@ -23,6 +23,16 @@
     files: Files | None
     journal: Path | None
 
+    @property
+    def cluster(self) -> str:
+        """What members and operators greet for: unlike a store's of the same name."""
+        return f"fleet {self.table.cluster}"
+
+    @property
+    def address(self) -> str:
+        """Where the file says that this member is reached."""
+        return self.table.advertise or self.table.listen
+
 
 def check(table: FleetTable, name: str, base: Path, out: Collector) -> FleetSetting:
     """Check one key against another; problems go to `out`. `name` is the limiter's."""
--- a/basaltpoint/daemon/fleet.py
+++ b/basaltpoint/daemon/fleet.py
@@ -14,9 +14,10 @@
 
 from basaltpoint.config.address import listener, parse_address
 from basaltpoint.config.fleets import FleetSetting
+from basaltpoint.daemon.fleet_look import ask
 from basaltpoint.links.frames import VERSION, FrameError, Greeting
 from basaltpoint.links.pool import Pool
-from basaltpoint.links.transport import Link, Tls, connect
+from basaltpoint.links.transport import Link, Tls
 from basaltpoint.peers import actions as act
 from basaltpoint.peers import messages as m
 from basaltpoint.peers.machine import Peers
@@ -40,8 +41,7 @@
     ) -> None:
         self.setting = setting
         self._changed, self._ended = changed, ended
-        files = setting.files
-        self._tls = Tls(files.cert, files.key, files.authority) if files else None
+        self._tls = Tls.of(setting.files)
         self.address = setting.table.advertise
         self.peers: Peers
         self._pool = Pool(self, self._greeting, self._tls, m.PEERS, setting.table.connections)
@@ -56,7 +56,7 @@
         self._loop: asyncio.AbstractEventLoop
 
     def _greeting(self) -> Greeting:
-        return Greeting(VERSION, f"fleet {self.setting.table.cluster}", self.setting.name, self.address)
+        return Greeting(VERSION, self.setting.cluster, self.setting.name, self.address)
 
     def _now(self) -> float:
         return self._loop.time() * 1000.0
@@ -228,40 +228,12 @@
 
     # --- A name that another process has ------------------------------------------------------------------
     async def _rival(self, address: str) -> None:
-        asked = _Asked()
-        greeting = self._greeting()
+        within_s = self.peers.options.rival_ms / 1000
         try:
-            link = await connect(
-                lambda: Link(asked, greeting, False, m.PEERS, self._tls is None),
-                address,
-                self.setting.name,
-                self._tls,
+            ack = await ask(
+                self._tls, self._greeting(), self.setting.name, address, m.Ping(), m.Ack, within_s
             )
-            try:
-                async with asyncio.timeout(self.peers.options.rival_ms / 1000):
-                    ack = await asked.answer
-            finally:
-                link.close()
         except (OSError, TimeoutError):
             return
         self.peers.rival(self._now(), ack.life, ack.age_ms)
         self._turn()
-
-
-class _Asked:
-    """Asks whoever answers at an address for its life."""
-
-    def __init__(self) -> None:
-        self.answer: asyncio.Future[m.Ack] = asyncio.get_running_loop().create_future()
-
-    def greeted(self, link: Link) -> bool:
-        return link.send(m.Ping())
-
-    def came(self, link: Link, frame: Any) -> None:
-        if isinstance(frame, m.Ack) and not self.answer.done():
-            self.answer.set_result(frame)
-
-    def lost(self, link: Link) -> None:
-        if not self.answer.done():
-            self.answer.set_exception(ConnectionResetError("it ended the connection"))
-            self.answer.exception()
--- a/basaltpoint/daemon/fleet_command.py
+++ b/basaltpoint/daemon/fleet_command.py
@@ -15,7 +15,6 @@
 from basaltpoint.config.decode import FileError
 from basaltpoint.config.fleets import FleetSetting
 from basaltpoint.daemon.fleet_look import look, remove
-from basaltpoint.links.transport import Tls
 from basaltpoint.peers import messages as m
 
 WATCH_S = 0.5
@@ -52,22 +51,16 @@
     return code
 
 
-def _own_address(setting: FleetSetting) -> str:
-    return setting.table.advertise or setting.table.listen
-
-
 async def _one(setting: FleetSetting, name: str, address: str) -> m.Looked | str:
-    files = setting.files
-    tls = Tls(files.cert, files.key, files.authority) if files else None
     try:
-        return await look(address, name, f"fleet {setting.table.cluster}", tls)
+        return await look(setting, name, address)
     except (OSError, TimeoutError) as error:
         return str(error) or "no answer"
 
 
 async def views(setting: FleetSetting) -> Views:
     """The view of every member that any asked one holds alive; the file's own member is asked first."""
-    known = {setting.name: _own_address(setting)}
+    known = {setting.name: setting.address}
     known.update({name: address for name, address in setting.seeds if name != setting.name})
     found: Views = {}
     while missing := [name for name in known if name not in found]:
@@ -213,12 +206,8 @@
 
 
 async def _remove(setting: FleetSetting, args: argparse.Namespace) -> int:
-    files = setting.files
-    tls = Tls(files.cert, files.key, files.authority) if files else None
     try:
-        problem = await remove(
-            _own_address(setting), setting.name, f"fleet {setting.table.cluster}", tls, args.name, args.force
-        )
+        problem = await remove(setting, args.name, args.force)
     except (OSError, TimeoutError) as error:
         problem = f"{setting.name} does not answer: {error or 'in time'}"
     if problem:
--- a/basaltpoint/daemon/fleet_look.py
+++ b/basaltpoint/daemon/fleet_look.py
@@ -1,29 +1,32 @@
-"""What operators ask of members: their views, and the removal of one that is gone."""
+"""One question to a member over a connection of its own: what operators ask, and what one asks a namesake."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, TypeVar
 
+from basaltpoint.config.fleets import FleetSetting
 from basaltpoint.links.frames import VERSION, Greeting, Part
 from basaltpoint.links.transport import Link, Tls, connect
 from basaltpoint.peers import messages as m
 
 ANSWER_S = 3.0
 
+T = TypeVar("T")
+
 
 class _Question:
     """One frame sent, one answer."""
 
-    def __init__(self, part: Part) -> None:
-        self._part = part
+    def __init__(self, part: Part, kind: type[Any]) -> None:
+        self._part, self._kind = part, kind
         self.answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
     def greeted(self, link: Link) -> bool:
         return link.send(self._part)
 
     def came(self, link: Link, frame: Any) -> None:
-        if isinstance(frame, m.Looked | m.Removed) and not self.answer.done():
+        if isinstance(frame, self._kind) and not self.answer.done():
             self.answer.set_result(frame)
 
     def lost(self, link: Link) -> None:
@@ -32,25 +35,34 @@
             self.answer.exception()  # read by whoever waits, or by nobody
 
 
-async def _ask(address: str, name: str, cluster: str, tls: Tls | None, part: Part) -> Any:
-    asked = _Question(part)
-    link = await connect(
-        lambda: Link(asked, Greeting(VERSION, cluster), False, m.PEERS, tls is None), address, name, tls
-    )
+async def ask(
+    tls: Tls | None,
+    greeting: Greeting,
+    name: str,
+    address: str,
+    part: Part,
+    kind: type[T],
+    within_s: float = ANSWER_S,
+) -> T:
+    """Ask the member `name`; OSError, TimeoutError where no answer of the kind comes."""
+    asked = _Question(part, kind)
+    link = await connect(lambda: Link(asked, greeting, False, m.PEERS, tls is None), address, name, tls)
     try:
-        async with asyncio.timeout(ANSWER_S):
-            return await asked.answer
+        async with asyncio.timeout(within_s):
+            answer: T = await asked.answer
+            return answer
     finally:
         link.close()
 
 
-async def look(address: str, name: str, cluster: str, tls: Tls | None) -> m.Looked:
+async def look(setting: FleetSetting, name: str, address: str) -> m.Looked:
     """A member's view; OSError, TimeoutError where it does not answer."""
-    looked: m.Looked = await _ask(address, name, cluster, tls, m.Look((), 1))
-    return looked
+    greeting = Greeting(VERSION, setting.cluster)
+    return await ask(Tls.of(setting.files), greeting, name, address, m.Look((), 1), m.Looked)
 
 
-async def remove(address: str, name: str, cluster: str, tls: Tls | None, gone: str, force: bool) -> str:
-    """Have a member declare another gone for good; the reason why not, or nothing."""
-    removed: m.Removed = await _ask(address, name, cluster, tls, m.Remove((), 1, gone, force))
-    return removed.problem
+async def remove(setting: FleetSetting, gone: str, force: bool) -> str:
+    """Have this file's member declare another gone for good; the reason why not, or nothing."""
+    greeting, part = Greeting(VERSION, setting.cluster), m.Remove((), 1, gone, force)
+    tls = Tls.of(setting.files)
+    return (await ask(tls, greeting, setting.name, setting.address, part, m.Removed)).problem
--- a/basaltpoint/links/transport.py
+++ b/basaltpoint/links/transport.py
@@ -15,6 +15,7 @@
 from typing import Any, Protocol, cast
 
 from basaltpoint.config.address import parse_address
+from basaltpoint.config.storage import Files
 from basaltpoint.links.frames import VERSION, FrameError, Greeting, Parser, Part, Speech, pack
 
 log = logging.getLogger(__name__)
@@ -31,6 +32,11 @@
     key: Path
     authority: Path
 
+    @classmethod
+    def of(cls, files: Files | None) -> Tls | None:
+        """Of a checked table's files; none where it names none."""
+        return cls(files.cert, files.key, files.authority) if files else None
+
     def server(self) -> ssl.SSLContext:
         """OSError, ssl.SSLError where the files can't be used."""
         context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=str(self.authority))
--- a/basaltpoint/store/setting.py
+++ b/basaltpoint/store/setting.py
@@ -11,12 +11,6 @@
 from basaltpoint.store.replica import Setting
 
 
-def tls(storage: Storage) -> Tls | None:
-    """The operator's files."""
-    files = storage.files
-    return Tls(files.cert, files.key, files.authority) if files else None
-
-
 def initial(storage: Storage) -> Members:
     """The members of a new cluster; none for a replica that joins one."""
     table = storage.table
@@ -36,7 +30,7 @@
         folder=storage.folder,
         listen=table.listen,
         initial=initial(storage),
-        tls=tls(storage),
+        tls=Tls.of(storage.files),
         options=Options(table.election_ms, table.heartbeat_ms),
         sizes=Sizes(snapshot_entries=table.snapshot_entries, state_bytes=table.state_mb << 20),
         advertise=advertised,
@@ -49,4 +43,4 @@
     endpoints = [Endpoint(address, name) for name, address in storage.members if name != table.name]
     if table.name:
         endpoints.insert(0, Endpoint(str(storage.socket)))
-    return Client(endpoints, table.cluster, tls(storage))
+    return Client(endpoints, table.cluster, Tls.of(storage.files))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -7,11 +7,13 @@
 import json
 import random
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
-import uvloop
+import waiting
+from waiting import until as until
 
 from basaltpoint.config.settings import parse_settings
 from basaltpoint.fronts.platform.clients import Clients
@@ -56,20 +58,7 @@
 }
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    """Run a test on the loop that the program uses; one that hangs fails."""
-
-    async def bounded() -> None:
-        async with asyncio.timeout(PATIENCE_S):
-            await test
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    while not condition():
-        await asyncio.sleep(0.005)
+run = partial(waiting.run, within_s=PATIENCE_S)
 
 
 # --- Servers --------------------------------------------------------------------------------------
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,6 +16,7 @@
 from waiting import PATIENCE_S, run, until
 
 from basaltpoint.cli import main
+from basaltpoint.config import fleets
 from basaltpoint.daemon.fleet_look import look
 from basaltpoint.links.frames import LENGTH, VERSION, Greeting, pack
 from basaltpoint.peers.messages import Gossip
@@ -115,7 +116,7 @@
             await made.begin(cut)
 
             async def told() -> bool:
-                looked = await look(made.members["l4"].advertise, "l4", "fleet local", None)
+                looked = await look(fleets.load(made.members["l4"].file), "l4", made.members["l4"].advertise)
                 return any(
                     name.strip(">") == "l2"
                     for s in looked.seen
--- a/tests/waiting.py
+++ b/tests/waiting.py
@@ -11,11 +11,11 @@
 PATIENCE_S = 90.0
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    """One test on a loop of its own."""
+def run(test: Coroutine[Any, Any, None], within_s: float = 3 * PATIENCE_S) -> None:
+    """Run a test on the loop that the program uses; one that hangs fails."""
 
     async def bounded() -> None:
-        async with asyncio.timeout(3 * PATIENCE_S):
+        async with asyncio.timeout(within_s):
             await test
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
