One verdict for processes and model, one writer of a limiter's file, logs and journals read once

Need: reading the change again: what held was put together in play and in command alike; the tests' fleets had a template of their own beside the rehearsal's tables; the servers' logs were read twice at a play's end, the journals twice at each look. Change: rehearsal/verdict.py; Processes.record; the template is gone. The JSON is as it was.

--- a/basaltpoint/rehearsal/command.py
+++ b/basaltpoint/rehearsal/command.py
@@ -5,7 +5,6 @@
 import argparse
 import asyncio
 import json
-import math
 import random
 import sys
 import tempfile
@@ -14,10 +13,11 @@
 from typing import Any
 
 from basaltpoint.config.decode import FileError
-from basaltpoint.rehearsal import checks, scenario
-from basaltpoint.rehearsal.faults import SERVERS, last_end, lasting
+from basaltpoint.rehearsal import scenario
+from basaltpoint.rehearsal.faults import SERVERS
 from basaltpoint.rehearsal.model import Model
 from basaltpoint.rehearsal.scenario import Rehearsal
+from basaltpoint.rehearsal.verdict import verdict
 
 HELD, NOT_HELD, WRONG, SLOW = range(4)
 MODEL_SETTLE_S = 60.0  # of the model's time, after the end, for all to agree again
@@ -74,26 +74,12 @@
     played = Model(made.names, faults=faults, seed=random.Random(seed).getrandbits(32))
     end = made.fleet.seconds + MODEL_SETTLE_S
     played.run(end)
-    lives, saws = played.all_lives, played.saws
-    agreed_s, apart = checks.agreed(lives, saws, last_end(faults, made.fleet.seconds), end)
-    found = checks.back_to_life(lives, saws) + checks.held_dead_by_all(lives, saws, faults, end)
-    found += [] if lasting(faults, made.fleet.seconds) else apart
-    kills = checks.kills(lives, saws, end)
-    return {
+    found = verdict(played.all_lives, played.saws, faults, made.fleet.seconds, 0.0, end)
+    return found | {
         "seed": seed,
-        "held": not found,
-        "findings": [
-            {"at_s": f.at_s, "kind": f.kind, "members": list(f.members), "expected": f.expected}
-            for f in found
-        ],
-        "members": {
-            "detected_s": [{"name": k.name, "at_s": k.at_s, "by": k.detected_s} for k in kills],
-            "wrong_deaths": len(checks.wrong_deaths(lives, saws)),
-            "agreed_s": None if math.isinf(agreed_s) else agreed_s,
-        },
-        "requests": {"asked": 0, "answered": 0, "none": 0, "twice": 0},
+        "held": not found["findings"],
+        "requests": dict.fromkeys(("asked", "answered", "none", "twice"), 0),
         "limits": {},
-        "views": [[saw.at_s, saw.by, saw.name, saw.state] for saw in saws],
     }
 
 
--- a/basaltpoint/rehearsal/play.py
+++ b/basaltpoint/rehearsal/play.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import hashlib
-import math
 import sys
 import time
 from collections import Counter
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -18,11 +16,11 @@
 from basaltpoint.load import coordinator, scenario
 from basaltpoint.load.arrivals import key_of, planned
 from basaltpoint.load.command import read_asked, read_attempts
-from basaltpoint.load.ledger import audit
+from basaltpoint.load.ledger import Attempt, audit
 from basaltpoint.rehearsal import checks
-from basaltpoint.rehearsal.faults import Fault, last_end, lasting
 from basaltpoint.rehearsal.processes import Processes
 from basaltpoint.rehearsal.scenario import Rehearsal
+from basaltpoint.rehearsal.verdict import finding, verdict
 
 START_S = 30.0  # for all to see each other before anything is played
 SETTLE_S = 30.0  # after the end, for all to agree again
@@ -104,7 +102,10 @@
                 group.create_task(self._faults(limiters))
                 await asyncio.sleep(self.made.fleet.seconds)
             await self._agree(limiters, SETTLE_S, must=False)
-            result, asked = self._judge(limiters), asking.result()
+            lives, saws = limiters.record()
+            result = verdict(
+                lives, saws, self.made.faults, self.made.fleet.seconds, self._began, time.monotonic()
+            )
         finally:
             watch.cancel()
             if limiters:
@@ -114,9 +115,11 @@
                     server.terminate()
                     await server.wait()
         # The servers' logs are whole only now.
-        result["limits"] = limits(self.made, self._sent(asked), self.made.fleet.seconds)
-        result["requests"] |= self._audit()
-        result["findings"] += result["requests"].pop("findings")
+        attempts = [row for log in self.folder.glob("s*.jsonl") for row in read_attempts(log)]
+        sent = self._sent(asking.result(), attempts)
+        result["limits"] = limits(self.made, sent, self.made.fleet.seconds)
+        result["requests"], findings = self._audit(attempts)
+        result["findings"] += findings
         result["held"] = not result["findings"]
         if self.late_s > LATE_S:
             raise SlowError(f"a turn of the rehearsal's own loop came {self.late_s:.2f} s late")
@@ -145,8 +148,7 @@
         while time.monotonic() < end:
             if fallen := limiters.fallen():
                 raise StartError(f"{fallen[0]} has ended: {limiters.log(fallen[0])[-2000:]}")
-            lives = limiters.lives()
-            saws, _ = limiters.journal()
+            lives, saws = limiters.record()
             if not checks.agreed(lives, saws, 0.0, time.monotonic())[1]:
                 return
             await asyncio.sleep(0.1)
@@ -170,32 +172,28 @@
         await coordinator.run(path, made, lambda told: None, ledger=self.folder / "ledger.jsonl")
         return made
 
-    def _audit(self) -> dict[str, Any]:
-        """Clients' side against servers': by request, over all its tries."""
+    def _audit(self, attempts: list[Attempt]) -> tuple[dict[str, int], list[dict[str, Any]]]:
+        """Clients' side against servers': by request, over all its tries; and what must not be."""
         path = self.folder / "ledger.jsonl"
-        if not path.exists():
-            return {"asked": 0, "answered": 0, "none": 0, "twice": 0, "findings": []}
-        asked = read_asked(path)
+        asked = read_asked(path) if path.exists() else []
         answered: Counter[str] = Counter()
         for one in asked:
             answered[one.ident.rpartition("-")[0]] += one.answers > 0
-        attempts = [row for log in self.folder.glob("s*.jsonl") for row in read_attempts(log)]
         found = [one for one in audit(asked, attempts) if one.kind != "lost"]
-        findings = [_finding(0.0, one.kind, (), f"{one.ident}: {one.what}") for one in found]
+        findings = [finding(0.0, one.kind, (), f"{one.ident}: {one.what}") for one in found]
         none = sum(not count for count in answered.values())
-        return {
+        counts = {
             "asked": len(answered), "answered": len(answered) - none, "none": none,
             "twice": sum(one.kind in ("ran twice", "two at once", "doubled") for one in found),
-            "findings": findings,
         }  # fmt: skip
+        return counts, findings
 
-    def _sent(self, made: scenario.Scenario | None) -> Counter[str]:
+    def _sent(self, made: scenario.Scenario | None, attempts: list[Attempt]) -> Counter[str]:
         """Attempts at the servers, by account's key."""
         if made is None:
             return Counter()
         account = {str(one.number): one.account for one in planned(made)}
-        logs = [row for log in self.folder.glob("s*.jsonl") for row in read_attempts(log)]
-        return Counter(account.get(row.ident.split("-")[1], "") for row in logs)
+        return Counter(account.get(row.ident.split("-")[1], "") for row in attempts)
 
     # --- Faults -----------------------------------------------------------------------------------------
     async def _faults(self, limiters: Processes) -> None:
@@ -206,36 +204,3 @@
         for when, begins, _, fault in sorted(steps, key=lambda step: step[:3]):
             await asyncio.sleep(max(0.0, self._began + when - time.monotonic()))
             await (limiters.begin(fault) if begins else limiters.over(fault))
-
-    # --- What held --------------------------------------------------------------------------------------
-    def _judge(self, limiters: Processes) -> dict[str, Any]:
-        lives, end = limiters.lives(), time.monotonic()
-        saws, _ = limiters.journal()
-        made = self.made.faults
-        shifted = [_shift(fault, self._began) for fault in made]
-        last = self._began + last_end(made, self.made.fleet.seconds)
-        agreed_s, apart = checks.agreed(lives, saws, last, end)
-        wrong = checks.wrong_deaths(lives, saws)
-        findings = checks.back_to_life(lives, saws) + checks.held_dead_by_all(lives, saws, shifted, end)
-        findings += [] if lasting(made, self.made.fleet.seconds) else apart
-        kills = checks.kills(lives, saws, end)
-        return {
-            "members": {
-                "detected_s": [
-                    {"name": k.name, "at_s": k.at_s - self._began, "by": k.detected_s} for k in kills
-                ],
-                "wrong_deaths": len(wrong),
-                "agreed_s": None if math.isinf(agreed_s) else agreed_s,
-            },
-            "findings": [_finding(f.at_s - self._began, f.kind, f.members, f.expected) for f in findings],
-            "requests": {},
-            "views": [[saw.at_s - self._began, saw.by, saw.name, saw.state] for saw in saws],
-        }
-
-
-def _shift(fault: Fault, by_s: float) -> Fault:
-    return replace(fault, at_s=fault.at_s + by_s, end_s=fault.end_s + by_s)
-
-
-def _finding(at_s: float, kind: str, members: tuple[str, ...], expected: str) -> dict[str, Any]:
-    return {"at_s": at_s, "kind": kind, "members": list(members), "expected": expected}
--- a/basaltpoint/rehearsal/processes.py
+++ b/basaltpoint/rehearsal/processes.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import hashlib
 import json
 import math
 import os
@@ -16,7 +15,7 @@
 import sys
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -24,45 +23,9 @@
 from basaltpoint.rehearsal.faults import Fault, Kind, Spoilt
 from basaltpoint.rehearsal.links import SpoiltLinks
 
-KEY = "rehearsal"  # of the one account, where a scenario names no others
 SEEDS = 3  # members that all know at their start
 END_S = 20.0  # for a process to end after SIGTERM
 
-LIMITER = """
-[[plan]]
-name = "p"
-rate = 1000
-burst = 1000
-
-[[account]]
-name = "one"
-plan = "p"
-keys = ["sha256:{digest}"]
-
-[[class]]
-name = "read"
-effect = "safe"
-
-{servers}
-[[pool]]
-name = "main"
-servers = [{names}]
-
-[[route]]
-name = "all"
-pool = "main"
-class = "read"
-"""
-
-
-def limiter_tables(servers: Sequence[str], key: str = KEY) -> str:
-    """The shared part of a limiter's file that routes all to all servers."""
-    rows = "".join(
-        f'[[server]]\nname = "s{at + 1}"\naddress = "{address}"\n\n' for at, address in enumerate(servers)
-    )
-    names = ", ".join(f'"s{at + 1}"' for at in range(len(servers)))
-    return LIMITER.format(digest=hashlib.sha256(key.encode()).hexdigest(), servers=rows, names=names)
-
 
 def free_addresses(count: int) -> list[str]:
     """Addresses for processes that must come back at the same ones.
@@ -238,9 +201,9 @@
                         )
         return sorted(saws, key=lambda saw: saw.at_s), starts
 
-    def lives(self) -> list[Life]:
-        """Every process that there was, with its first incarnation."""
-        _, starts = self.journal()
+    def record(self) -> tuple[list[Life], list[Saw]]:
+        """Every process that there was, with its first incarnation; and all changes of all views."""
+        saws, starts = self.journal()
         found = []
         for name, member in self.members.items():
             made = list(member.lives)
@@ -250,8 +213,8 @@
                 first = min(
                     (inc for at, inc in starts.get(name, ()) if life.began_s <= at < life.ended_s), default=0
                 )
-                found.append(Life(name, life.began_s, life.ended_s, life.told, first))
-        return found
+                found.append(replace(life, incarnation=first))
+        return found, saws
 
     def views(self) -> dict[str, dict[str, str]]:
         """The last state of each member in each living member's view."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,8 +22,11 @@
 from basaltpoint.peers.messages import Gossip
 from basaltpoint.rehearsal import checks
 from basaltpoint.rehearsal.faults import Fault, Kind
-from basaltpoint.rehearsal.processes import Processes, limiter_tables
+from basaltpoint.rehearsal.play import tables
+from basaltpoint.rehearsal.processes import Processes
+from basaltpoint.rehearsal.scenario import FleetTable, LoadTable, Rehearsal
 
+TABLES = tables(Rehearsal(fleet=FleetTable(), load=LoadTable(), limiter={}, faults=()), ["127.0.0.1:1"])
 STEADY = "silent_ms = 5000\nprobe_ms = 200"  # where a slow machine must not look like a silent member
 FAST = (
     "silent_ms = 1500\nprobe_ms = 200"  # so that the stories take seconds; what holds does not depend on it
@@ -33,7 +36,7 @@
 @contextlib.asynccontextmanager
 async def fleet(path: Path, count: int = 3, more: str = FAST, start: bool = True) -> AsyncIterator[Processes]:
     names = [f"l{at + 1}" for at in range(count)]
-    made = Processes(path, names, limiter_tables(["127.0.0.1:1"]), more)
+    made = Processes(path, names, TABLES, more)
     await made.prepare()
     try:
         if start:
@@ -58,8 +61,7 @@
 
 
 def sound(made: Processes) -> None:
-    saws, _ = made.journal()
-    assert not checks.back_to_life(made.lives(), saws)
+    assert not checks.back_to_life(*made.record())
 
 
 def test_a_killed_member_is_held_dead_by_all_and_lives_again_under_a_new_incarnation(tmp_path: Path) -> None:
@@ -140,7 +142,7 @@
 def test_the_later_of_two_processes_with_one_name_ends_with_the_reason(tmp_path: Path) -> None:
     async def test() -> None:
         async with fleet(tmp_path, 3) as made:
-            other = Processes(tmp_path / "other", ["l2"], limiter_tables(["127.0.0.1:1"]), FAST)
+            other = Processes(tmp_path / "other", ["l2"], TABLES, FAST)
             await other.prepare()
             late = other.members["l2"]
             text = made.text(made.members["l2"]).replace(made.members["l2"].own, late.own)
