A limiter that is put back finds what lay in its folder when the play began

Cause: putback was told in the guide and did what kill does; wipe took away a folder named store alone, whatever the store's folder is called.

--- a/basaltpoint/rehearsal/play.py
+++ b/basaltpoint/rehearsal/play.py
@@ -96,6 +96,7 @@
             await limiters.prepare()
             limiters.start()
             await self._agree(limiters, START_S)
+            limiters.keep_copies()
             self._began = time.monotonic()
             async with asyncio.TaskGroup() as group:
                 asking = group.create_task(self._load(limiters))
--- a/basaltpoint/rehearsal/processes.py
+++ b/basaltpoint/rehearsal/processes.py
@@ -23,6 +23,9 @@
 from basaltpoint.rehearsal.faults import Fault, Kind, Spoilt
 from basaltpoint.rehearsal.links import SpoiltLinks
 
+JOURNAL = "journal.jsonl"
+COPY = "copy"  # of what a limiter has, in its folder
+STAYS = ("limiter.toml", "log.txt", JOURNAL, COPY)
 SEEDS = 3  # members that all know at their start
 END_S = 20.0  # for a process to end after SIGTERM
 
@@ -42,6 +45,11 @@
             sock.close()
 
 
+def _sockets(folder: str, names: list[str]) -> list[str]:
+    """Those that can't be copied: they are made anew at a start."""
+    return [name for name in names if (Path(folder) / name).is_socket()]
+
+
 @dataclass(slots=True)
 class Member:
     """One limiter."""
@@ -91,7 +99,7 @@
         return (
             f'name = "{member.name}"\nlisten = "{member.listen}"\n{self._tables}\n'
             f'[fleet]\nlisten = "{member.own}"\nadvertise = "{member.advertise}"\nseeds = [{seeds}]\n'
-            f'journal = "journal.jsonl"\n{self._fleet}\n'
+            f'journal = "{JOURNAL}"\n{self._fleet}\n'
         )
 
     def start(self, *names: str) -> None:
@@ -156,11 +164,8 @@
                     self.resume(name)
             case Kind.KILL | Kind.STOP | Kind.WIPE | Kind.PUTBACK:
                 for name in fault.on:
-                    if fault.kind is Kind.WIPE:
-                        (self.members[name].folder / "journal.jsonl").rename(
-                            self.members[name].folder / f"journal-{time.monotonic_ns()}.jsonl"
-                        )
-                        shutil.rmtree(self.members[name].folder / "store", ignore_errors=True)
+                    if fault.kind in (Kind.WIPE, Kind.PUTBACK):
+                        self._lose(self.members[name], older=fault.kind is Kind.PUTBACK)
                     if self.members[name].process is None:
                         self.start(name)
             case Kind.RESET | Kind.DRAIN | Kind.UNDRAIN:
@@ -168,6 +173,31 @@
             case _:
                 self.spoilt.faults.remove(fault)
 
+    def keep_copies(self) -> None:
+        """Copy what each limiter has in its folder now: what `putback` brings back."""
+        for member in self.members.values():
+            (member.folder / COPY).mkdir(exist_ok=True)
+            for path in self._own(member):
+                copy = member.folder / COPY / path.name
+                if path.is_dir():
+                    shutil.copytree(path, copy, ignore=_sockets, dirs_exist_ok=True)
+                else:
+                    shutil.copy2(path, copy)
+
+    def _own(self, member: Member) -> list[Path]:
+        """What a limiter wrote for itself; its file, its log and its journal are the rehearsal's."""
+        return [path for path in member.folder.iterdir() if path.name not in STAYS]
+
+    def _lose(self, member: Member, older: bool) -> None:
+        """A limiter that does not run loses its folder, or finds the older copy in its place."""
+        for path in self._own(member):
+            if path.is_dir():
+                shutil.rmtree(path)
+            else:
+                path.unlink()
+        if older:
+            shutil.copytree(member.folder / COPY, member.folder, dirs_exist_ok=True)
+
     def fallen(self) -> list[str]:
         """Members that ended though nobody ended them."""
         return [
@@ -190,15 +220,13 @@
         """All changes of all views in their order; and of each name its starts with their incarnations."""
         saws, starts = list[Saw](), dict[str, list[tuple[float, int]]]()
         for name, member in self.members.items():
-            for path in member.folder.glob("journal*.jsonl"):
-                for line in path.read_text().splitlines():
-                    with contextlib.suppress(ValueError):  # the last line of one that was killed
-                        row: dict[str, Any] = json.loads(line)
-                        if row["what"] == "start":
-                            starts.setdefault(name, []).append((row["at_s"], row["incarnation"]))
-                        saws.append(
-                            Saw(row["at_s"], row["by"], row["name"], row["incarnation"], row["state"])
-                        )
+            path = member.folder / JOURNAL
+            for line in path.read_text().splitlines() if path.exists() else ():
+                with contextlib.suppress(ValueError):  # the last line of one that was killed
+                    row: dict[str, Any] = json.loads(line)
+                    if row["what"] == "start":
+                        starts.setdefault(name, []).append((row["at_s"], row["incarnation"]))
+                    saws.append(Saw(row["at_s"], row["by"], row["name"], row["incarnation"], row["state"]))
         return sorted(saws, key=lambda saw: saw.at_s), starts
 
     def record(self) -> tuple[list[Life], list[Saw]]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -283,6 +283,27 @@
     run(test())
 
 
+def test_a_limiter_that_is_wiped_or_put_back_finds_nothing_or_what_it_had(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3) as made:
+            kept = made.members["l2"].folder / "state" / "kept"
+            kept.parent.mkdir()
+            kept.write_text("older")
+            made.keep_copies()
+            kept.write_text("newer")
+            for kind, found in ((Kind.PUTBACK, "older"), (Kind.WIPE, "")):
+                before = made.journal()[1]["l2"][-1][1]
+                fault = Fault(kind, 0, 1, on=("l2",))
+                await made.begin(fault)
+                await made.over(fault)
+                assert (kept.read_text() if kept.exists() else "") == found
+                await until(lambda: made.journal()[1]["l2"][-1][1] > before)  # noqa: B023 - waited for here
+                await agree(made, "l1", "l2", "l3")
+            sound(made)
+
+    run(test())
+
+
 def test_a_seed_that_is_down_and_one_that_names_a_stranger_hold_nobody_up(tmp_path: Path) -> None:
     async def test() -> None:
         async with fleet(tmp_path, 3, start=False) as made:
