Process tests wait until all are alive, not merely on their way

Cause: fleet status was asked while members still joined, where views may rightly differ; the test failed in one of two whole runs, and once before. Found by its printed table. Change: the tests' wait asks for alive in every view, which is stricter; no assertion has changed.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -52,8 +52,17 @@
 
 
 async def agree(made: Processes, *names: str) -> None:
-    """Wait until all who are named see each other and nobody else."""
-    await until(lambda: all(living(made, name) == set(names) for name in names))
+    """Wait until all who are named see each other alive, and nobody else."""
+
+    def agreed() -> bool:
+        views = made.views()
+        return all(
+            {n: state for n, state in views.get(by, {}).items() if state in checks.LIVE}
+            == dict.fromkeys(names, "alive")
+            for by in names
+        )
+
+    await until(agreed, 0.05)
 
 
 async def sees(made: Processes, by: str, name: str, state: str) -> None:
