--- a/basaltpoint/config/address.py
+++ b/basaltpoint/config/address.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import socket
 
 Address = tuple[str, int]
@@ -21,6 +22,15 @@
     return host.strip("[]"), int(port)
 
 
+def is_loopback(text: str) -> bool:
+    """Whether a `host:port` is of this host alone; ConfigError where it is no address."""
+    host = parse_address(text)[0]
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False  # a name: it may be anybody's
+
+
 def inherited(descriptor: int) -> socket.socket:
     """The listening socket that this process was started with; ConfigError where there is none."""
     try:
--- a/basaltpoint/config/fleets.py
+++ b/basaltpoint/config/fleets.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import ipaddress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from basaltpoint.config.address import ConfigError, parse_address
+from basaltpoint.config.address import ConfigError, is_loopback, parse_address
 from basaltpoint.config.decode import Collector, FileError, decode, read_sound, shown
 from basaltpoint.config.schema import FleetTable
 from basaltpoint.config.storage import Files, pem_files
@@ -40,8 +39,7 @@
     for key in ("listen", "advertise"):
         if text := getattr(table, key):
             try:
-                host = parse_address(text)[0]
-                loopback = loopback or (key == "listen" and _loopback(host))
+                loopback = is_loopback(text) if key == "listen" else loopback
             except ConfigError:
                 out.add(f"fleet.{key}", f"found {shown(text)}", "HOST:PORT, as 10.0.0.1:7500")
     seeds = tuple((seed, address) for seed, _, address in (each.partition("@") for each in table.seeds))
@@ -57,13 +55,6 @@
     return FleetSetting(table, table.name or name, seeds, files, journal)
 
 
-def _loopback(host: str) -> bool:
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return False
-
-
 def _files(table: FleetTable, base: Path, loopback: bool, out: Collector) -> Files | None:
     given = {key: getattr(table, key) for key in ("cert", "key", "authority")}
     if not any(given.values()) and loopback:
--- a/basaltpoint/config/schema.py
+++ b/basaltpoint/config/schema.py
@@ -369,7 +369,7 @@
     cert: Annotated[
         str,
         described(
-            "Certificate (PEM) that holds the replica's name as a DNS name; needed with `listen` or for members elsewhere."
+            "Certificate (PEM) that holds the replica's name as a DNS name; needed unless every address is of the loopback, where any process of the host may then write."
         ),
     ] = ""
     key: Annotated[str, described("Its private key (PEM).")] = ""
@@ -438,7 +438,7 @@
     seeds: Annotated[
         tuple[Annotated[str, Meta(pattern=MEMBER)], ...],
         described(
-            "Members to ask at a start, and again while they are not seen, each `NAME@HOST:PORT`. Two or three that are mostly there are enough; with none, and none that names this one, it stays alone."
+            "Members to ask at a start, and again while they are not seen, each `NAME@HOST:PORT`. Two or three that are mostly there are enough; with `[store]`, those that live are known from there and none is needed; without either, and with none that names this one, it stays alone."
         ),
     ] = ()
     cert: Annotated[
@@ -506,6 +506,12 @@
         ),
     ] = ""
     name: Annotated[str, described("This limiter's name, in Via and logs.", pattern=NAME)] = "basaltpoint"
+    handover: Annotated[
+        str,
+        described(
+            "Folder in which the next process of this limiter finds this one, relative to this file; its path has 60 bytes at most. Empty: a new process can start only once this one has ended."
+        ),
+    ] = ""
     limits: Limits = Limits()
     clients: Clients = Clients()
     identity: IdentityTable = IdentityTable()
--- a/basaltpoint/config/storage.py
+++ b/basaltpoint/config/storage.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from basaltpoint.config.address import ConfigError, parse_address
+from basaltpoint.config.address import ConfigError, is_loopback
 from basaltpoint.config.decode import Collector, FileError, decode, read_sound, shown
 from basaltpoint.config.schema import StoreTable
 
@@ -40,13 +40,14 @@
 def check(table: StoreTable, base: Path, out: Collector) -> Storage:
     """Check one key against another; problems go to `out`."""
     members = tuple((name, address) for name, _, address in (each.partition("@") for each in table.members))
+    here = True  # no replica is on another host
     for at, (name, address) in enumerate(members):
-        _address(f"store.members[{at}]", address, out)
+        here = _here(f"store.members[{at}]", address, out) and here
         if name in [other for other, _ in members[:at]]:
             out.add(f"store.members[{at}]", f"found {shown(name)} again", "each name once")
     for key in ("listen", "advertise"):
         if text := getattr(table, key):
-            _address(f"store.{key}", text, out)
+            here = _here(f"store.{key}", text, out) and here
     names = [name for name, _ in members]
     if table.name and members and table.name not in names and not table.join:
         out.add("store.name", f"found {shown(table.name)}", "one of the members, or join = true")
@@ -61,21 +62,23 @@
             f"found {table.heartbeat_ms:g}",
             f"up to a third of election_ms, {table.election_ms / 3:g}",
         )
-    return Storage(table, (base / table.dir).resolve(), members, _files(table, base, bool(others), out))
+    return Storage(table, (base / table.dir).resolve(), members, _files(table, base, here, out))
 
 
-def _address(path: str, text: str, out: Collector) -> None:
+def _here(path: str, text: str, out: Collector) -> bool:
+    """Whether an address is of this host alone; true as well of one that is none, which is told."""
     try:
-        parse_address(text)
+        return is_loopback(text)
     except ConfigError:
         out.add(path, f"found {shown(text)}", "HOST:PORT, as 10.0.0.1:7400")
+        return True
 
 
-def _files(table: StoreTable, base: Path, others: bool, out: Collector) -> Files | None:
+def _files(table: StoreTable, base: Path, here: bool, out: Collector) -> Files | None:
     given = {key: getattr(table, key) for key in ("cert", "key", "authority")}
-    if not any(given.values()) and not table.listen and not others:
+    if not any(given.values()) and here:
         return None
-    why = "a PEM file: replicas and clients on other hosts show certificates"
+    why = "a PEM file, or addresses of the loopback alone"
     return pem_files("store", given, base, why, out)
 
 
--- a/basaltpoint/daemon/fleet.py
+++ b/basaltpoint/daemon/fleet.py
@@ -8,13 +8,15 @@
 import logging
 import random
 import secrets
+import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, TextIO
 
 from basaltpoint.config.address import listener, parse_address
 from basaltpoint.config.fleets import FleetSetting
 from basaltpoint.daemon.fleet_look import ask
+from basaltpoint.handover.bequest import Place
 from basaltpoint.links.frames import VERSION, FrameError, Greeting
 from basaltpoint.links.pool import Pool
 from basaltpoint.links.transport import Link, Tls
@@ -46,10 +48,12 @@
         self.peers: Peers
         self._pool = Pool(self, self._greeting, self._tls, m.PEERS, setting.table.connections)
         self._server: asyncio.Server | None = None
+        self._sock: socket.socket
         self._timer: asyncio.TimerHandle | None = None
         self._asking: asyncio.Task[None] | None = None
         self._journal: TextIO | None = None
         self._live = 0
+        self._present: Sequence[tuple[str, str]] = ()  # seeds that the store tells of
         self._loud: dict[str, float] = {}
         self._problems: dict[str, str] = {}
         self._joined = asyncio.Event()
@@ -62,11 +66,22 @@
         return self._loop.time() * 1000.0
 
     # --- Start and end ----------------------------------------------------------------------------------
-    async def start(self) -> None:
-        """Listen, and find the others; OSError where that can't be."""
+    async def start(
+        self,
+        place: Place | None = None,
+        held: socket.socket | None = None,
+        present: Sequence[tuple[str, str]] = (),
+    ) -> None:
+        """Listen, and find the others; OSError where that can't be.
+
+        `place`, `held`: this member's place among the others and its listening socket, from an older process.
+        `present`: members that the store tells of.
+        """
+        self._present = present
         self._loop = asyncio.get_running_loop()
         table = self.setting.table
-        sock = listener(parse_address(table.listen), BACKLOG)
+        sock = held or listener(parse_address(table.listen), BACKLOG)
+        self._sock = sock
         if not self.address:
             self.address = f"{table.listen.rpartition(':')[0]}:{sock.getsockname()[1]}"
         context = self._tls.server() if self._tls else None
@@ -79,11 +94,13 @@
             self.address,
             secrets.randbits(53),
             int(time.time() * 1000),
-            self.setting.seeds,
+            [*self.setting.seeds, *self._present],
             options,
             random.Random(secrets.randbits(64)),
             self._now(),
         )
+        if place:
+            self.peers.inherit(self._now(), (place.row, *place.rows), place.age_ms)
         if row := self.peers.view.get(self.setting.name):
             self._note("start", row)
         self._turn()
@@ -96,9 +113,16 @@
         """Members to deal a quota among; the most there may be while this one has no place yet."""
         return self._live if self._joined.is_set() else self.setting.table.most
 
+    def pass_on(self, send: Callable[[int], bool]) -> Place | None:
+        """Pass the listening socket and this member's place on; None where it has none, or can't."""
+        if not self._server or self.peers.ended or not self._joined.is_set() or not send(self._sock.fileno()):
+            return None
+        own, *rows = self.peers.retire()
+        return Place(own, tuple(rows), self._now() - self.peers.began)
+
     async def leave(self) -> None:
         """Tell the others that this one goes."""
-        if self._server and not self.peers.ended:
+        if self._server and not (self.peers.ended or self.peers.leaving):
             self.peers.leave(self._now())
             self._turn()
             await asyncio.sleep(LEAVE_S)
@@ -119,7 +143,13 @@
     def reseed(self, setting: FleetSetting) -> None:
         """Other seeds from now on."""
         self.setting = setting
-        self.peers.reseed(setting.seeds)
+        self.peers.reseed([*setting.seeds, *self._present])
+
+    def present(self, members: Sequence[tuple[str, str]]) -> None:
+        """Members that the store tells of, to be asked like the file's seeds: names and addresses."""
+        self._present = members
+        self.reseed(self.setting)
+        self._turn()
 
     # --- The machine's turn -----------------------------------------------------------------------------
     def _turn(self) -> None:
--- a/basaltpoint/daemon/standalone.py
+++ b/basaltpoint/daemon/standalone.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import secrets
 import signal
+import socket
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 import uvloop
 
 from basaltpoint.config import build, fleets, storage
-from basaltpoint.config.address import listener
+from basaltpoint.config.address import listener, parse_address
 from basaltpoint.config.build import Numbers, Setup
 from basaltpoint.config.decode import Collector, FileError, Problem, read_sound, shown
 from basaltpoint.config.schema import FleetTable
@@ -21,13 +24,19 @@
 from basaltpoint.daemon.shared_state import limiter_name
 from basaltpoint.daemon.store_follower import StartError, StoreFollower
 from basaltpoint.daemon.store_side import StoreSide
+from basaltpoint.daemon.upgrade import Upgrade
 from basaltpoint.fronts.http.connection import ClientConnection
 from basaltpoint.fronts.http.relay import Relay
+from basaltpoint.handover import bequest, state
+from basaltpoint.handover.bequest import Bequest, BequestError, Place
+from basaltpoint.handover.link import place as door_of
+from basaltpoint.store.client import StoreError
 
 log = logging.getLogger("basaltpoint")
 
 SWEEP_S = 0.25
 BACKLOG = 1024
+CLIENTS, FLEET = "clients", "fleet"  # what a listening socket is for
 
 
 class Standalone:
@@ -47,6 +56,11 @@
             )
         else:
             self.setup = build.assemble(raw, path, Collector(str(path)), self._numbers)
+        self.name = limiter_name(raw)
+        told = raw.get("handover")
+        self._handover = str(path.parent / told) if isinstance(told, str) and told else ""
+        self.upgrade: Upgrade | None = None
+        self._sock: socket.socket
         self.ended = ""  # why this process can't go on
         self.stop = asyncio.Event()  # it is to drain and end
         self.fleet = Fleet(fleets.parse(raw, path), self._members, self._end) if "fleet" in raw else None
@@ -61,22 +75,32 @@
         if self.keeper:
             await self.keeper.start()
             self.setup = self.from_store()
+        left = await self._inherit()
+        held = self._held(left)
+        if left and left.shared and self.keeper and self.keeper.goes_on(left.shared):
+            self.setup = self.from_store()
         if self.fleet:
-            try:
-                await self.fleet.start()
-            except OSError as error:
-                raise StartError(f"fleet.listen {self.fleet.setting.table.listen}: {error}") from None
-            if self.ended:
-                raise StartError(f"fleet: {self.ended}")
-        self.relay = Relay(
-            self._own(self.setup), self._seed, self.keeper.down_s * 1000 if self.keeper else 0.0
-        )
+            await self._join(
+                self.fleet, left.place if left and FLEET in held else None, held.pop(FLEET, None)
+            )
+        down_ms = self.keeper.down_s * 1000 if self.keeper else 0.0
+        if left:
+            # One that the older process did not know may have drawn all of its ceiling a moment ago.
+            self.relay = Relay(self._own(self.setup), self._seed, 0.0, left.origin_s, left.started_ms)
+            for problem in bequest.put(self.relay.gateway, left, self._names(), self.relay.now()):
+                log.warning("not taken over: %s", problem)
+            log.info("took over from the older process")
+        else:
+            self.relay = Relay(self._own(self.setup), self._seed, down_ms)
         if self.keeper:
-            self._kept.begin(self.keeper)
+            self._kept.begin(self.keeper, recalls=left is None)
         try:
-            sock = listener(self.setup.listen, BACKLOG)
+            sock = held.pop(CLIENTS, None) or listener(self.setup.listen, BACKLOG)
         except OSError as error:
             raise StartError(f"{self.setup.file.listen}: {error}") from None
+        for passed in held.values():
+            passed.close()
+        self._sock = sock
         bound = sock.getsockname()
         self.address = bound[0], bound[1]
         loop = asyncio.get_running_loop()
@@ -84,8 +108,95 @@
             lambda: ClientConnection(self.relay), sock=sock, backlog=BACKLOG
         )
         self._sweeper = loop.create_task(self._sweep())
+        if self.upgrade:
+            self.upgrade.serving(self.relay.adopt)
         log.info("%s listens at %s:%d", self.setup.file.name, *self.address)
 
+    async def _join(self, fleet: Fleet, place: Place | None, sock: socket.socket | None) -> None:
+        """Take a place among the members; those that the store tells of are asked as well as the seeds."""
+        setting, seeds = fleet.setting, []
+        if self.keeper:
+            self.keeper.member = setting.cluster, setting.name, ""
+            with contextlib.suppress(StoreError):
+                seeds = [(name, address) for _, name, address in await self.keeper.members()]
+        try:
+            await fleet.start(place, sock, seeds)
+        except OSError as error:
+            raise StartError(f"fleet.listen {setting.table.listen}: {error}") from None
+        if self.ended:
+            raise StartError(f"fleet: {self.ended}")
+        if self.keeper:
+            self.keeper.member = setting.cluster, setting.name, fleet.address
+            self.keeper.found = lambda found: fleet.present([(name, at) for _, name, at in found])
+
+    # --- Two processes during an upgrade ------------------------------------------------------------------
+    async def _inherit(self) -> Bequest | None:
+        """What an older process leaves, once it is told to end; None where there is none."""
+        path = door_of(self._handover, self.name) if self._handover else None
+        if path is None:
+            return None
+        self.upgrade = Upgrade(path, self.name)
+        try:
+            if not self.upgrade.claim():
+                return None
+        except BequestError as error:
+            raise StartError(f"an older process serves, and {error}; end it first") from None
+        log.info("ready: this process serves once the older one is told to end (SIGTERM)")
+        return await self.upgrade.wait()
+
+    def _held(self, left: Bequest | None) -> dict[str, socket.socket]:
+        """The listening sockets that came, but those of addresses that the file no longer names."""
+        if not left or not self.upgrade:
+            return {}
+        wanted = {CLIENTS: self.setup.listen}
+        if self.fleet:
+            wanted[FLEET] = parse_address(self.fleet.setting.table.listen)
+        found = {}
+        for what, sock in zip(left.listeners, self.upgrade.listeners, strict=False):
+            host, port = sock.getsockname()[:2]
+            if what in wanted and wanted[what] in ((host, port), (host, 0)):
+                sock.setblocking(False)
+                found[what] = sock
+            else:
+                log.warning("the older process's address for %s, %s:%d, is not this one's", what, host, port)
+                sock.close()
+        self.upgrade.listeners = []
+        return found
+
+    def _names(self) -> dict[str, dict[str, int]]:
+        """Numbers by name, of whatever the module's state goes by."""
+        return {
+            "account": {account.name: account.number for account in self.setup.accounts.all()},
+            "server": {spec.name: spec.number for spec in self.setup.servers},
+            "pool": {"": 0, **self.setup.pools},  # the first is for lists that name none
+        }
+
+    def bequeath(self, send: Callable[[int], bool]) -> Bequest:
+        """Pass the listening sockets, take nothing new from now on, and tell all that is left."""
+        assert self._server
+        relay, names, listeners = self.relay, self._names(), []
+        if send(self._sock.fileno()):
+            listeners.append(CLIENTS)
+        self._server.close()
+        member = self.fleet.pass_on(send) if self.fleet else None
+        if member:
+            listeners.append(FLEET)
+        now = relay.now()
+        module = state.take(relay.gateway, now)
+        state.spend(relay.gateway, now, self.setup.file.clients.drain_s * 1000)
+        names["account"] = {n: i for n, i in names["account"].items() if i in relay.gateway.customers}
+        shared = self.keeper.pass_on() if self.keeper else None
+        return Bequest(
+            bequest.VERSION,
+            relay.origin_s,
+            module,
+            names,
+            relay.started_ms(),
+            tuple(listeners),
+            member,
+            shared,
+        )
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -141,7 +252,7 @@
         allowed = "as at the start, or a restart"
         wrong = [
             Problem(str(self.path), key, f"found {shown(str(getattr(new, key)))}", allowed)
-            for key in ("listen", "limits", "name", "store")
+            for key in ("listen", "limits", "name", "store", "handover")
             if getattr(old, key) != getattr(new, key)
         ]
         if _but_seeds(old.fleet) != _but_seeds(new.fleet):
@@ -152,15 +263,24 @@
             raise FileError(wrong)
 
     async def drain(self) -> None:
-        """Finish what was taken, and end."""
+        """Finish what was taken, and end; what a newer process can go on with is passed to it."""
+        send = await self.upgrade.hand_over(self) if self.upgrade else None
         if self.fleet:
-            await self.fleet.leave()
-        self.relay.closing = True
+            if send:
+                self.fleet.close()
+            else:
+                await self.fleet.leave()
+        self.relay.closing = send is None
         if self._server:
             self._server.close()
         end = asyncio.get_running_loop().time() + self.setup.file.clients.drain_s
-        while self.relay.open and asyncio.get_running_loop().time() < end:
-            self.relay.close_idle()
+        while (
+            self.relay.open or (send and self.relay.connections)
+        ) and asyncio.get_running_loop().time() < end:
+            if send:
+                self.relay.pass_idle(send)
+            else:
+                self.relay.close_idle()
             await asyncio.sleep(0.01)
         self.relay.close_idle()
         await self.close()
@@ -171,6 +291,8 @@
             self._server.close()
         if self.fleet:
             self.fleet.close()
+        if self.upgrade:
+            self.upgrade.close()
         if self.keeper:
             await self.keeper.stop()
         if self._sweeper:
--- a/basaltpoint/daemon/store_follower.py
+++ b/basaltpoint/daemon/store_follower.py
@@ -25,6 +25,7 @@
 from basaltpoint.config.storage import Storage
 from basaltpoint.daemon.balances import BUDGET, Balance, Balances, SignOfLife, down
 from basaltpoint.daemon.shared_state import DOCUMENT, PREFIX, Change, SharedState, first_document
+from basaltpoint.handover.bequest import Shared
 from basaltpoint.store import setting
 from basaltpoint.store.client import StoreError, UnavailableError
 from basaltpoint.store.machine import Check, CompactedError, Put
@@ -39,6 +40,8 @@
 CACHE_S = 0.5  # the copy is written at most so often
 STOP_S = 3.0  # for the last write and the replica's end
 WAIT_S = 2.0  # of one try at a start
+LOOK_S = (0.5, 30.0)  # first and longest between two looks for other limiters; the members tell of each other
+OWN = "limiter/"  # keys of limiters that live
 
 
 class StartError(Exception):
@@ -53,6 +56,15 @@
     values: dict[str, bytes]
 
 
+Member = tuple[str, str, str]  # a limiter's place in a fleet: cluster, name, HOST:PORT
+
+
+class Present(msgspec.Struct, frozen=True):
+    """What others need of a limiter's own key."""
+
+    fleet: Member | None = None
+
+
 class StoreFollower:
     """One limiter's store."""
 
@@ -71,6 +83,8 @@
         self._told_own: tuple[int, str] | None = None  # what stands in the limiter's own key
         self._problem = ""
         self._tells = False  # whether there is something for the next life
+        self.member: Member | None = None  # its place in a fleet, told to limiters that start
+        self.found: Callable[[list[Member]], None] = lambda members: None  # hears of others' places
         self._tasks: list[asyncio.Task[None]] = []
         self._child: Process | None = None
         self._copying: asyncio.TimerHandle | None = None  # the copy is to be written
@@ -204,6 +218,8 @@
         self._changed, self._relay, self._tells = changed, relay, True
         self._run(self._follow())
         self._run(self._presence())
+        if self.member:
+            self._run(self._look_round())
         if self.storage.table.balances_s:
             self._run(self._write_balances())
 
@@ -264,16 +280,41 @@
             self._lease = await self.client.grant(LEASE_MS, TELL_S / 2)
         told = self.revision, self._problem
         if told != self._told_own:
-            own = {"revision": self.revision, "problem": self._problem, "since_ms": int(time.time() * 1000)}
+            own: dict[str, Any] = {
+                "revision": self.revision, "problem": self._problem, "since_ms": int(time.time() * 1000)
+            }  # fmt: skip
+            if self.member:
+                own["fleet"] = self.member
             value = json.dumps(own).encode()
-            await self.client.put(f"limiter/{self.name}", value, self._lease, TELL_S / 2)
+            await self.client.put(f"{OWN}{self.name}", value, self._lease, TELL_S / 2)
             self._told_own = told
 
+    async def members(self, within_s: float = WAIT_S) -> list[Member]:
+        """Other limiters' places in this one's fleet, as the asked replica has them; UnavailableError."""
+        values, _ = await self.client.range(OWN, local=True, within_s=within_s)
+        found = []
+        for value in values.values():
+            with contextlib.suppress(msgspec.DecodeError):
+                if told := msgspec.json.decode(value.value, type=Present).fleet:
+                    found.append(told)
+        return [
+            one for one in found if self.member and one[:2] != self.member[:2] and one[0] == self.member[0]
+        ]
+
+    async def _look_round(self) -> None:
+        """Tell where other limiters are: soon after a start, as all may have started at once, then rarely."""
+        wait = LOOK_S[0]
+        while True:
+            await asyncio.sleep(wait)
+            wait = min(LOOK_S[1], wait * 2)
+            with contextlib.suppress(StoreError):
+                self.found(await self.members())
+
     async def _write_balances(self) -> None:
         written_at = -math.inf
         while True:
             await asyncio.sleep(self.storage.table.balances_s)
-            if not self._long_lease:
+            if not (self._long_lease and self._tells):
                 continue
             try:
                 await self._put_balances(self._relay.due_balances(final=False))
@@ -296,6 +337,20 @@
             value = msgspec.msgpack.encode((time.time() * 1000, pools))
             await self.client.put(f"learned/{self.name}", value, self._long_lease, STOP_S)
 
+    # --- Two processes of one limiter ---------------------------------------------------------------------
+    def pass_on(self) -> Shared:
+        """What is held, for the process that goes on; what the next life needs is that one's to write."""
+        self._tells = False
+        return Shared(self.revision, self.held.values)
+
+    def goes_on(self, shared: Shared) -> bool:
+        """Take up what an older process held last, where that is newer; whether it was."""
+        if shared.revision <= self.revision:
+            return False
+        self.held.load(shared.values, shared.revision)
+        self.revision = shared.revision
+        return True
+
     # --- Signs of life --------------------------------------------------------------------------------------
     @property
     def _sign(self) -> Path:
--- a/basaltpoint/daemon/store_side.py
+++ b/basaltpoint/daemon/store_side.py
@@ -40,23 +40,26 @@
         self._numbers: dict[int, str] = {}
         self._problem = ""  # of the document that could not be used
 
-    def begin(self, keeper: StoreFollower) -> None:
-        """Give back what an earlier life left, and follow the store from now on."""
+    def begin(self, keeper: StoreFollower, recalls: bool = True) -> None:
+        """Give back what an earlier life left, and follow the store from now on.
+
+        `recalls`: False where more is known than that life could write, as its process told it directly.
+        """
         self._keeper = keeper
         self._name_accounts()
         setup, relay = self._limiter.setup, self._limiter.relay
         accounts = {account.name: account for account in setup.accounts.all()}
         now_ms = time.time() * 1000
-        for name, balance in keeper.balances.items():
+        for name, balance in keeper.balances.items() if recalls else ():
             if account := accounts.get(name):
                 plan = setup.settings.plans[account.plan]
                 event = recall(account.number, plan, balance, now_ms, keeper.down_s)
                 relay.do(relay.table.tell(relay.now(), event))
-        for name, (light, mean_ms) in keeper.learned.items():
+        for name, (light, mean_ms) in keeper.learned.items() if recalls else ():
             if name in setup.pools:
                 learned = api.Learned(setup.pools[name], light, mean_ms)
                 relay.do(relay.table.tell(relay.now(), learned))
-        if keeper.balances:
+        if keeper.balances and recalls:
             log.info(
                 "store: %d accounts go on, %.1f s after the last life", len(keeper.balances), keeper.down_s
             )
--- /dev/null
+++ b/basaltpoint/daemon/upgrade.py
@@ -0,0 +1,170 @@
+"""Two processes of one standalone limiter during an upgrade: who serves, and what the one passes on.
+
+The newer one reads its configuration and waits. On SIGTERM the older one passes its listening sockets, its
+state and its place among the members, then client connections as they fall idle. So one process at a time
+takes requests and draws on quotas, and the other members see no change.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from basaltpoint.handover import bequest
+from basaltpoint.handover.bequest import Bequest, BequestError, Hello
+from basaltpoint.handover.link import Door, Link, claim
+
+log = logging.getLogger("basaltpoint")
+
+FLUSH_S = 3.0  # for the document to be read by a process that is starting; then its connections go as ever
+LOOK_S = 0.005
+
+
+class Heirs(Protocol):
+    """What a process is asked by the one after it."""
+
+    def bequeath(self, send: Callable[[int], bool]) -> Bequest:
+        """Pass the listening sockets, take nothing new from now on, and tell all that is left."""
+
+
+class Upgrade:
+    """One process between the one before it and the one after it."""
+
+    def __init__(self, path: str, name: str) -> None:
+        self._path, self._name = path, name
+        self._older: Link | None = None
+        self._heir: Link | None = None
+        self._door: Door | None = None
+        self._told: asyncio.Future[Bequest | None]
+        self.listeners: list[socket.socket] = []
+        self._early: list[socket.socket] = []  # connections that came before they could be served
+        self.adopt: Callable[[socket.socket], None] = self._early.append
+
+    # --- As the newer of two ----------------------------------------------------------------------------
+    def claim(self) -> bool:
+        """Whether an older process is there; BequestError where it can't be followed."""
+        found = claim(self._path)
+        if found is None:
+            return False
+        sock, text = found
+        try:
+            bequest.hello(text)
+        except BequestError:
+            sock.close()
+            raise
+        self._told = asyncio.get_running_loop().create_future()
+        self._older = Link(sock, _Older(self))
+        return True
+
+    async def wait(self) -> Bequest | None:
+        """What the older one leaves once it is told to end; None where it ended without a word."""
+        return await self._told
+
+    def came(self, text: bytes) -> None:
+        """The older one's last word."""
+        if self._told.done():
+            return
+        try:
+            self._told.set_result(bequest.read(text, time.monotonic()))
+        except BequestError as error:
+            log.warning("the older process's state is not taken over: %s", error)
+            self._told.set_result(None)
+
+    def passed(self, sock: socket.socket) -> None:
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            self.listeners.append(sock)
+        else:
+            self.adopt(sock)
+
+    def alone(self) -> None:
+        """The older one has gone."""
+        if self._older and not self._told.done():
+            log.warning("the older process ended without a last word; its place is taken as after a kill")
+            self._told.set_result(None)
+
+    def serving(self, adopt: Callable[[socket.socket], None]) -> None:
+        """From now on this process serves: the next one may knock."""
+        self.adopt = adopt
+        while self._early:
+            adopt(self._early.pop())
+        try:
+            self._door = Door(self._path, self._knock)
+        except OSError as error:
+            log.warning("the next process will find nothing to take over: %s", error)
+
+    # --- As the older of two ----------------------------------------------------------------------------
+    def _knock(self, sock: socket.socket) -> None:
+        if self._heir:
+            self._heir.close()
+        self._heir = Link(sock, _Newer(self))
+        self._heir.document(bequest.write(Hello(bequest.VERSION, self._name)))
+        log.info("a newer process is there; it takes over when this one is told to end")
+
+    def heir_gone(self) -> None:
+        self._heir = None
+        if self._door:
+            log.warning("the newer process ended")
+
+    async def hand_over(self, heirs: Heirs) -> Callable[[int], bool] | None:
+        """Pass all on to the newer one; how to pass connections on, None where nobody is there."""
+        if (heir := self._heir) is None:
+            return None
+        told = heirs.bequeath(heir.connection)
+        heir.document(bequest.write(told))
+        end = time.monotonic() + FLUSH_S
+        while not heir.flushed and time.monotonic() < end:
+            await asyncio.sleep(LOOK_S)
+        return heir.connection
+
+    def close(self) -> None:
+        if self._door:
+            self._door.close()
+            self._door = None
+        older, self._older = self._older, None
+        for link in (older, self._heir):
+            if link:
+                link.close()
+        for sock in [*self.listeners, *self._early]:
+            sock.close()
+
+
+class _Older:
+    """What comes from the process before this one."""
+
+    def __init__(self, upgrade: Upgrade) -> None:
+        self._upgrade = upgrade
+
+    def told(self, document: bytes) -> None:
+        self._upgrade.came(document)
+
+    def adopt(self, sock: socket.socket) -> None:
+        self._upgrade.passed(sock)
+
+    def ended(self, name: bytes) -> None:
+        pass
+
+    def parted(self) -> None:
+        self._upgrade.alone()
+
+
+class _Newer:
+    """What comes from the process after this one: nothing but its end."""
+
+    def __init__(self, upgrade: Upgrade) -> None:
+        self._upgrade = upgrade
+
+    def told(self, document: bytes) -> None:
+        pass
+
+    def adopt(self, sock: socket.socket) -> None:
+        sock.close()
+
+    def ended(self, name: bytes) -> None:
+        pass
+
+    def parted(self) -> None:
+        self._upgrade.heir_gone()
--- a/basaltpoint/fronts/http/connection.py
+++ b/basaltpoint/fronts/http/connection.py
@@ -155,6 +155,19 @@
         if self._transport:
             self._transport.close()
 
+    def pass_on(self, send: Callable[[int], bool]) -> bool:
+        """Give the connection, between two requests, to another process; False where that can't be now."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or not self.idle or self._read_paused or self._deaf:
+            return False
+        if transport.get_write_buffer_size() or not send(transport.get_extra_info("socket").fileno()):
+            return False
+        # In the same turn, so that nothing is read here that the other needs. The connection lives on in its
+        # descriptor.
+        self._deaf = True
+        transport.abort()
+        return True
+
     def cut(self) -> None:
         """End at once, so that an answer that has begun is seen to be broken off, however it is framed."""
         self._deaf = True
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -6,8 +6,11 @@
 import logging
 import math
 import random
+import socket
 import time
+from collections.abc import Callable, Mapping
 from functools import partial
+from types import MappingProxyType
 
 from basaltpoint import interface as api
 from basaltpoint.config.build import ServerSpec, Setup
@@ -16,6 +19,7 @@
 from basaltpoint.fronts.http.connection import ClientConnection
 from basaltpoint.fronts.http.message import BadRequestError, Changes, Headers, Origin, Outgoing, Request
 from basaltpoint.fronts.http.passage import Check, Passage
+from basaltpoint.fronts.joining import Joining
 from basaltpoint.fronts.shell import DAY_S, EARLY_MS, Shell
 from basaltpoint.interface import Effect as Repeats
 from basaltpoint.interface import ServerState, Status, Why
@@ -35,8 +39,19 @@
 class Relay(Shell):
     """Holds the request table, the servers and what the present configuration says."""
 
-    def __init__(self, setup: Setup, seed: int, down_ms: float = 0.0) -> None:
-        """`down_ms`: for how long, at least, nothing has been sent on by an earlier life of this limiter."""
+    def __init__(
+        self,
+        setup: Setup,
+        seed: int,
+        down_ms: float = 0.0,
+        origin_s: float | None = None,
+        started_ms: Mapping[str, float] = MappingProxyType({}),
+    ) -> None:
+        """`down_ms`: for how long, at least, nothing has been sent on by an earlier life of this limiter.
+
+        `origin_s`: where the module's clock began, of an older process that this one goes on for; and
+        `started_ms`: when, of that clock, it first heard of each server.
+        """
         file = setup.file
         self.setup = setup
         self.name = file.name.encode()
@@ -46,6 +61,8 @@
         self.gateway = Gateway(setup.settings, seed)
         self.figures = Figures([cls.name for cls in setup.settings.classes])
         super().__init__(Table(self.gateway, setup.settings.max_attempts, file.limits.requests, self.figures))
+        self._origin = self._origin if origin_s is None else origin_s
+        self._joining = Joining()
         self.connections: dict[ClientConnection, None] = {}
         make = partial(StreamAnswers, head_limit=self.head_limit, buffer=self.buffer)
         most = int((file.limits.sockets - MARGIN) * SERVER_PART)
@@ -53,7 +70,8 @@
         up = file.upstream
         self.servers = Servers(most, up.connect_ms / 1000, up.idle_ms / 1000, make)
         self._placed: dict[int, ServerSpec] = {}
-        self._started: dict[int, float] = {}  # when a server was first heard of, after the start
+        # When a server was first heard of, after the start.
+        self._started = {s.number: started_ms[s.name] for s in setup.servers if s.name in started_ms}
         self._pools: set[int] = set()
         self._passages: dict[int, Passage] = {}  # that wait for their reply
         self._attempts: dict[int, StreamAttempt] = {}  # the one that is out, by request
@@ -318,6 +336,25 @@
         """Requests in hand, with those whose body is still coming."""
         return sum(1 for connection in self.connections if not connection.idle)
 
+    @property
+    def origin_s(self) -> float:
+        """Where the module's clock began, on the machine's monotonic clock."""
+        return self._origin
+
+    def started_ms(self) -> dict[str, float]:
+        """When each server was first heard of, by the module's clock."""
+        return {spec.name: self._started[spec.number] for spec in self._placed.values()}
+
+    def adopt(self, sock: socket.socket) -> None:
+        """Serve a connection that another process accepted."""
+        sock.setblocking(False)
+        self._joining.join(sock, ClientConnection(self), lambda: None)
+
+    def pass_idle(self, send: Callable[[int], bool]) -> None:
+        """Pass connections between requests on to another process."""
+        for connection in [c for c in self.connections if c.idle]:
+            connection.pass_on(send)
+
     def close_idle(self) -> None:
         """Part of a drain: connections between requests go."""
         for connection in [c for c in self.connections if c.idle]:
--- /dev/null
+++ b/basaltpoint/handover/bequest.py
@@ -0,0 +1,105 @@
+"""What a standalone limiter leaves to its next process: a versioned document; no I/O.
+
+Numbers are each process's own: what goes by them is told with names, and taken by the reader's numbers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import msgspec
+
+from basaltpoint.handover import document
+from basaltpoint.peers.messages import Row
+from basaltpoint.policy import Gateway
+
+VERSION = 1  # another one is not read: what it says is not known
+KINDS = {"customers": ("ident", "account"), "servers": ("number", "server"), "pools": ("number", "pool")}
+
+
+class BequestError(ValueError):
+    """A document that can't be taken over; says why."""
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """The older process's first word: it is there, and knows this version."""
+
+    version: int
+    name: str
+
+
+class Place(msgspec.Struct, frozen=True):
+    """A member's place among the others, as one process passes it to the next."""
+
+    row: Row  # its own
+    rows: tuple[Row, ...]  # of the others
+    age_ms: float  # of the member, over all its processes
+
+
+class Shared(msgspec.Struct, frozen=True):
+    """What the store was known to hold."""
+
+    revision: int
+    values: dict[str, bytes]
+
+
+class Bequest(msgspec.Struct, frozen=True):
+    """All of it, at the moment from which the older process takes nothing new.
+
+    `origin_s`: where the module's clock began, on the machine's monotonic clock. `started_ms`: of that clock,
+    when each server was first heard of; `names`: by kind, name and the older process's number. `listeners`:
+    what the sockets are that went before this, in their order.
+    """
+
+    version: int
+    origin_s: float
+    module: dict[str, Any]
+    names: dict[str, dict[str, int]]
+    started_ms: dict[str, float]
+    listeners: tuple[str, ...] = ()
+    place: Place | None = None
+    shared: Shared | None = None
+
+
+def write(told: Hello | Bequest) -> bytes:
+    return msgspec.msgpack.encode(told)
+
+
+def hello(text: bytes) -> Hello:
+    """The older process's first word; BequestError where this one can't follow it."""
+    try:
+        told = msgspec.msgpack.decode(text, type=Hello)
+    except msgspec.DecodeError as error:
+        raise BequestError(f"its first word can't be read: {error}") from None
+    if told.version != VERSION:
+        raise BequestError(f"it speaks version {told.version} of the handover, where {VERSION} is known")
+    return told
+
+
+def read(text: bytes, now_s: float) -> Bequest:
+    """The document at `now_s` of the monotonic clock; BequestError where it can't be taken over."""
+    try:
+        told = msgspec.msgpack.decode(text, type=Bequest)
+    except msgspec.DecodeError as error:
+        raise BequestError(f"the document can't be read: {error}") from None
+    if told.version != VERSION or not 0.0 <= told.origin_s <= now_s:
+        raise BequestError(f"version {told.version}, a clock begun at {told.origin_s:g} s of {now_s:g} s")
+    return told
+
+
+def put(
+    gateway: Gateway, told: Bequest, numbers: Mapping[str, Mapping[str, int]], now: float
+) -> Iterator[str]:
+    """Take the module's state over, by this process's numbers; yields what could not be."""
+    module = dict(told.module)
+    for part, (key, kind) in KINDS.items():
+        renamed = {old: numbers[kind].get(name) for name, old in told.names.get(kind, {}).items()}
+        rows = module.get(part)
+        if not isinstance(rows, list):
+            continue
+        kept = [row | {key: renamed[row[key]]} for row in rows if renamed.get(row.get(key)) is not None]
+        if gone := len(rows) - len(kept):
+            yield f"{part}: {gone} are not in this process's configuration"
+        module[part] = kept
+    yield from document.put(gateway, module, now)
--- a/basaltpoint/handover/state.py
+++ b/basaltpoint/handover/state.py
@@ -211,6 +211,14 @@
         ceiling.rate, ceiling.depth = plan.ceiling_rate / customer.doors, plan.ceiling_depth / customer.doors
 
 
+def spend(gateway: Gateway, now: float, for_ms: float) -> None:
+    """Another process has all of it from this moment on: here nothing is drawn on a ceiling for so long."""
+    for customer in gateway.customers.values():
+        ceiling = customer.ceiling
+        if math.isfinite(ceiling.depth):
+            ceiling.level, ceiling.at = -ceiling.depth - ceiling.rate * for_ms / 1000.0, now
+
+
 def join(gateway: Gateway, rows: Any, now: float, since: float) -> int:
     """Take what the other process knew of customers at its end; how many could not be read.
 
--- a/basaltpoint/load/command.py
+++ b/basaltpoint/load/command.py
@@ -176,5 +176,5 @@
     """A stand-in server's log."""
     with open(path, "rb") as lines:
         rows = [json.loads(line) for line in lines]
-    names = ("ident", "server", "came_s", "ended_s", "ran", "once", "key", "repeat")
+    names = ("ident", "server", "came_s", "ended_s", "ran", "once", "key", "repeat", "via")
     return [ledger.Attempt(**{name: row[name] for name in names}) for row in rows]
--- a/basaltpoint/load/ledger.py
+++ b/basaltpoint/load/ledger.py
@@ -35,6 +35,7 @@
     once: bool = False  # of a class that must never run twice
     key: str = ""
     repeat: bool = False  # dropped as the repeat of a key
+    via: str = ""  # the limiter that sent it, as it calls itself
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltpoint/peers/machine.py
+++ b/basaltpoint/peers/machine.py
@@ -194,6 +194,26 @@
         for name in dict.fromkeys([*self.view.watched(), *self._linked, *self._some(FANOUT)]):
             self._send_rows(name, (self._row,))
 
+    def retire(self) -> tuple[Row, ...]:
+        """Pass this member's place on to the next process of it: nothing is said or answered any more.
+
+        What is known of all members, this one's row first.
+        """
+        self.leaving = True
+        return self._row, *(row for row in self.view.rows if row.name != self.me)
+
+    def inherit(self, now: float, rows: Sequence[Row], age_ms: float) -> None:
+        """Go on in the place that another process of this member had: the others see no change."""
+        own, *others = rows
+        self.life, self.began = own.life, now - age_ms
+        self._row = msgspec.structs.replace(own, address=self.address)
+        for row in (self._row, *others):
+            self.view.put(now, row)
+            self._out.append(act.Changed(None, row))
+            # A doubt goes on here: it is asked anew, as by one that has just heard of it.
+            if row.state is State.SUSPECT:
+                self._doubt(now, row)
+
     def remove(self, now: float, name: str, force: bool) -> str:
         """An operator declares a member gone for good; the reason why not, or nothing."""
         row = self.view.get(name)
@@ -271,6 +291,7 @@
                 self._out.append(act.Named(row.name, f"more than {self.options.most} members"))
                 return
         elif order(join(held, row)) == order(held):
+            self._spread.heard(row, self.live)
             same = row.state is State.SUSPECT and order(row) == order(held)
             suspicion = self._suspicions.get(row.name)
             if (
@@ -287,19 +308,25 @@
         self._out.append(act.Changed(held, row))
         self._suspicions.pop(row.name, None)
         if row.state is State.SUSPECT:
-            suspicion = self._suspicions[row.name] = Suspicion(row.incarnation, now, False)
-            suspicion.confirm(row.by, row.refused)
-            suspicion.asked = row.by == self.me or not self.options.lifeguard
-            # Each asks for itself before it holds one dead, at some time before: whoever reaches it tells
-            # it of the doubt. In a fleet cut up at random that may be a single member.
-            if not suspicion.asked:
-                half = (suspicion.end(self.options, len(self.view.ring)) - now) / 2
-                suspicion.ask_at = now + self._rng.uniform(0.0, min(half, 4 * self.options.probe_ms))
+            self._doubt(now, row)
         elif not row.live:
             self.prober.gone(row.name)
         if held is not None or row.live:
             self._news(now, row)
 
+    def _doubt(self, now: float, row: Row) -> None:
+        """Begin to doubt a member.
+
+        Each asks for itself before it holds one dead, at some time before: whoever reaches it tells it of the
+        doubt. In a fleet cut up at random that may be a single member.
+        """
+        suspicion = self._suspicions[row.name] = Suspicion(row.incarnation, now, False)
+        suspicion.confirm(row.by, row.refused)
+        suspicion.asked = row.by == self.me or not self.options.lifeguard
+        if not suspicion.asked:
+            half = (suspicion.end(self.options, len(self.view.ring)) - now) / 2
+            suspicion.ask_at = now + self._rng.uniform(0.0, min(half, 4 * self.options.probe_ms))
+
     def _asked(self, now: float, row: Row) -> bool:
         """Whether this member has asked one that others hold dead; if not, it does so now."""
         suspicion = self._suspicions.get(row.name)
--- a/basaltpoint/peers/spread.py
+++ b/basaltpoint/peers/spread.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from basaltpoint.peers.messages import Row
+from basaltpoint.peers.view import order
 
 TIMES = 3  # of the binary logarithm of the members: at a fifth of messages lost, and more, all still hear
+HEARD = 8  # tellings that one hearing stands for: whoever tells it knows it, and tells others, too
 MOST = 512  # rows that wait; beyond, the one told most often goes, and full exchanges mend what it costs
 
 
@@ -23,15 +25,23 @@
         if len(self._waiting) > MOST:
             del self._waiting[max(self._waiting, key=lambda name: self._waiting[name][1])]
 
+    def heard(self, row: Row, members: int) -> None:
+        """Another tells what waits here: so much less is left to tell."""
+        waiting, told = self._waiting.get(row.name, (None, 0))
+        if waiting is not None and order(waiting) == order(row):
+            self._count(row.name, waiting, told + HEARD, members)
+
+    def _count(self, name: str, row: Row, told: int, members: int) -> None:
+        if told >= TIMES * max(1, members).bit_length():
+            del self._waiting[name]
+        else:
+            self._waiting[name] = row, told
+
     def take(self, most: int, members: int) -> tuple[Row, ...]:
         """Up to `most` rows for one message; what was told often enough is forgotten."""
         if not self._waiting:
             return ()
-        enough = TIMES * max(1, members).bit_length()
         chosen = sorted(self._waiting.items(), key=lambda item: item[1][1])[:most]
         for name, (row, told) in chosen:
-            if told + 1 >= enough:
-                del self._waiting[name]
-            else:
-                self._waiting[name] = row, told + 1
+            self._count(name, row, told + 1, members)
         return tuple(row for _, (row, _) in chosen)
--- a/basaltpoint/rehearsal/events.py
+++ b/basaltpoint/rehearsal/events.py
@@ -27,6 +27,18 @@
     incarnation: int = 0  # its first: what is said of a lower one is said of an earlier life
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """An operator's command about a server, given to one limiter's links to the store."""
+
+    what: str  # drain, undrain
+    server: str
+    by: str
+    began_s: float
+    done_s: float
+    problem: str = ""  # why it was not acknowledged
+
+
 @dataclass(frozen=True, slots=True)
 class Finding:
     """Something that must not be."""
--- a/basaltpoint/rehearsal/faults.py
+++ b/basaltpoint/rehearsal/faults.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 
@@ -22,12 +22,13 @@
     STOP = "stop"  # SIGTERM, the same
     WIPE = "wipe"  # killed, its folder lost, started again
     PUTBACK = "putback"  # killed, an older copy of its folder, started again
+    UPGRADE = "upgrade"  # a new process of the limiter takes over from the one that runs
     DRAIN = "drain"  # a server's drain is told to the limiter `on`
     UNDRAIN = "undrain"
 
 
 LINKS = (Kind.CUT, Kind.SPLIT, Kind.DROP, Kind.DELAY, Kind.STALL, Kind.RESET)
-PROCESSES = (Kind.PAUSE, Kind.KILL, Kind.STOP, Kind.WIPE, Kind.PUTBACK)
+PROCESSES = (Kind.PAUSE, Kind.KILL, Kind.STOP, Kind.WIPE, Kind.PUTBACK, Kind.UPGRADE)
 SERVERS = (Kind.DRAIN, Kind.UNDRAIN)
 
 
@@ -109,6 +110,24 @@
         return made
 
 
+def among(faults: Iterable[Fault], names: Collection[str]) -> list[Fault]:
+    """What of the faults concerns these alone: members by themselves, or links between two of them."""
+    found = []
+    for fault in faults:
+        on, sources, targets = (
+            tuple(name for name in some if name in names) for some in (fault.on, fault.sources, fault.targets)
+        )
+        sides = tuple(kept for side in fault.sides if (kept := tuple(n for n in side if n in names)))
+        if on or (sources and targets) or len(sides) > 1:
+            found.append(replace(fault, on=on, sources=sources, targets=targets, sides=sides))
+    return found
+
+
+def shift(fault: Fault, by_s: float) -> Fault:
+    """The same by another clock."""
+    return replace(fault, at_s=fault.at_s + by_s, end_s=fault.end_s + by_s)
+
+
 def last_end(faults: Sequence[Fault], seconds: float) -> float:
     """When the last fault is over, where one ends at all."""
     # A process that never comes back is an event, not a state that others wait for.
@@ -129,13 +148,13 @@
     for _ in range(count):
         at = rng.uniform(0.1, 0.4) * seconds
         end = at + rng.uniform(0.01, 0.25) * seconds
-        kind = rng.choice([*LINKS, Kind.PAUSE, Kind.KILL, Kind.STOP])
+        kind = rng.choice([*LINKS, Kind.PAUSE, Kind.KILL, Kind.STOP, Kind.UPGRADE])
         some = rng.sample(names, rng.randint(1, max(1, len(names) // 2)))
         rest = [name for name in names if name not in some] or names
         match kind:
             case Kind.SPLIT:
                 found.append(Fault(kind, at, end, sides=(tuple(some), tuple(rest))))
-            case Kind.PAUSE | Kind.KILL | Kind.STOP:
+            case Kind.PAUSE | Kind.KILL | Kind.STOP | Kind.UPGRADE:
                 found.append(Fault(kind, at, end, on=tuple(some)))
             case _:
                 found.append(
--- a/basaltpoint/standins/server.py
+++ b/basaltpoint/standins/server.py
@@ -54,6 +54,7 @@
     ran: bool = False  # its work was begun
     ended_s: float | None = None
     code: int = 0  # 0: no answer went out
+    via: str = ""  # the limiter that sent it, as it calls itself
 
 
 @dataclass(slots=True)
@@ -163,6 +164,7 @@
         now, key = monotonic(), headers.get("idempotency-key", "")
         ident = next((headers[name] for name in IDENTS if name in headers), "")
         seen = Seen(ident, self.name, now, method, path, key)
+        seen.via = headers.get("via", "").rpartition(" ")[2]
         seen.once = path.startswith(self.behaviour.once)
         self.seen.append(seen)
         if self.behaviour.drain_s is not None and self.age() >= self.behaviour.drain_s:
--- a/basaltpoint/store/client.py
+++ b/basaltpoint/store/client.py
@@ -100,7 +100,10 @@
             self._failed += 1
             async with asyncio.timeout(bound):
                 link = await connect(
-                    lambda: Link(self, greeting, local, p.STORE), to.address, to.name, self._tls
+                    lambda: Link(self, greeting, local, p.STORE, self._tls is None),
+                    to.address,
+                    to.name,
+                    self._tls,
                 )
             self._failed = 0
             self._link = link
@@ -117,7 +120,7 @@
         while self._waits and (link := self._link) is not None:
             asked = loop.time()
             if self._heard < asked - LOOK_S:
-                link.send(p.Status(0))  # its answer counts as a sign of life alone
+                link.send(p.Status(0))  # answered once the replica is current: a sign of life, and no more
             await asyncio.sleep(LOOK_S)
             # What this process slept through is no silence of the other's: it is asked first.
             late = loop.time() - asked > 2 * LOOK_S
--- a/basaltpoint/store/node.py
+++ b/basaltpoint/store/node.py
@@ -97,6 +97,7 @@
     def forget(self, token: int) -> None:
         """Nobody waits for a read any more."""
         self._reads.pop(token, None)
+        self.core.forget(token)
 
     def change(self, now: float, members: Members, done: Done) -> None:
         """Change the membership; RefusedError says why not."""
--- a/basaltpoint/store/raft.py
+++ b/basaltpoint/store/raft.py
@@ -120,6 +120,7 @@
         self._votes: dict[str, bool] = {}
         self._round = 0
         self._reads: list[Read] = []
+        self._sought: dict[int, str] = {}  # reads asked of a leader: token, its name
         self._marks: dict[str, int] = {}  # index up to which each has acknowledged committed entries
         self._transfer: tuple[str, float] | None = None
         self._partial: tuple[int, int, bytearray] | None = None  # term, index and start of a snapshot
@@ -196,10 +197,15 @@
         if self.role is Role.LEADER:
             self._read(token, "")
         elif self.leader and not self.broken:
+            self._sought[token] = self.leader
             self._post(self.leader, m.ReadAsk(self.hard.term, token))
         else:
             raise RefusedError("no leader is known")
 
+    def forget(self, token: int) -> None:
+        """Nobody waits for a read any more."""
+        self._sought.pop(token, None)
+
     def _read(self, token: int, asker: str) -> None:
         # Until an entry of its own term is committed, it does not know all that is [6.4]; its first one is.
         index = max(self.commit, self._first)
@@ -366,10 +372,18 @@
         if self.role is not Role.FOLLOWER:
             self._rearm()
         self.role, self.leader = Role.FOLLOWER, leader
+        self._drop_sought()
+
+    def _drop_sought(self) -> None:
+        """Whoever was asked for a read leads no more, or is not heard: the answer may never come."""
+        for token in [token for token, name in self._sought.items() if name != self.leader]:
+            del self._sought[token]
+            self._out.dropped.append(token)
 
     # --- Elections [3.4, 9.6] ------------------------------------------------------------------------------
     def _stand(self, pre: bool, forced: bool = False) -> None:
         self.leader = ""
+        self._drop_sought()
         if pre:
             self.role, term = Role.PRE, self.hard.term + 1
         else:
@@ -665,6 +679,8 @@
             self._post(sender, m.ReadTold(self.hard.term, message.token, -1))
 
     def _told_read(self, message: m.ReadTold) -> None:
+        if self._sought.pop(message.token, None) is None:
+            return
         if message.index < 0:
             self._out.dropped.append(message.token)
         else:
--- a/basaltpoint/store/replica.py
+++ b/basaltpoint/store/replica.py
@@ -94,6 +94,7 @@
         self._passing: dict[int, _Passing] = {}
         self._passed = 0
         self._passed_to = ""  # the leader that was known at the last turn
+        self._signs: set[Link] = set()  # that wait for a sign of life
         self._servers: list[asyncio.Server] = []
         self._timer: asyncio.TimerHandle | None = None
         self._soon = False
@@ -124,13 +125,13 @@
             if not self.setting.advertise:
                 self.address = f"{self.setting.listen.rpartition(':')[0]}:{sock.getsockname()[1]}"
             context = self.setting.tls.server() if self.setting.tls else None
-            self._servers.append(
-                await self._loop.create_server(
-                    lambda: Link(self, self._greeting(), False, p.STORE), sock=sock, ssl=context
-                )
-            )
+            self._servers.append(await self._loop.create_server(self._link, sock=sock, ssl=context))
         self._kick()
 
+    def _link(self) -> Link:
+        """One with another host, or another process of this one."""
+        return Link(self, self._greeting(), False, p.STORE, plain=self.setting.tls is None)
+
     def _greeting(self) -> Greeting:
         return Greeting(VERSION, self.setting.cluster, self.setting.name, self.address)
 
@@ -191,8 +192,7 @@
                 del self._callers[name]
         for name, address in wanted.items():
             if name not in self._callers:
-                make: Callable[[], Link] = lambda: Link(self, self._greeting(), False, p.STORE)  # noqa: E731
-                self._callers[name] = Caller(make, name, address, self.setting.tls)
+                self._callers[name] = Caller(self._link, name, address, self.setting.tls)
 
     def _send(self, to: str, message: Message) -> None:
         if caller := self._callers.get(to):
@@ -235,6 +235,8 @@
                 self._watch(link, frame)
             case p.Unwatch():
                 self._watches.pop((link, frame.ident), None)
+            case p.Status() if not frame.ident:
+                self._sign(link)
             case p.Status():
                 link.send(self.standing(frame.ident))
             case p.Snap():
@@ -366,6 +368,22 @@
         except RefusedError:
             ended(False)
 
+    def _sign(self, link: Link) -> None:
+        """A sign of life for one who waits, once the state here is current.
+
+        A replica that can't hear the leader, or can't be heard, lives and holds up whoever waits at it.
+        """
+        self._signs.add(link)
+        if len(self._signs) > 1:
+            return  # one proof under way is enough for all
+
+        def done(good: bool) -> None:
+            signs, self._signs = self._signs, set()
+            for waiting in signs if good else ():
+                waiting.send(self.standing())
+
+        self._when_current(done)
+
     def _get(self, link: Link, frame: p.Get) -> None:
         def done(good: bool) -> None:
             link.send(self._page(frame) if good else p.Page(frame.ident, 0, {}, error="unavailable"))
--- /dev/null
+++ b/tests/fleetprocs.py
@@ -0,0 +1,63 @@
+"""A fleet of real limiters for tests: started, agreed, ended."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+from waiting import until
+
+from basaltpoint.rehearsal import checks
+from basaltpoint.rehearsal.play import tables
+from basaltpoint.rehearsal.processes import Processes
+from basaltpoint.rehearsal.scenario import FleetTable, LoadTable, Rehearsal
+
+TABLES = tables(Rehearsal(fleet=FleetTable(), load=LoadTable(), limiter={}, faults=()), ["127.0.0.1:1"])
+STEADY = "silent_ms = 5000\nprobe_ms = 200"  # where a slow machine must not look like a silent member
+FAST = (
+    "silent_ms = 1500\nprobe_ms = 200"  # so that the stories take seconds; what holds does not depend on it
+)
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    path: Path, count: int = 3, more: str = FAST, start: bool = True, **named: Any
+) -> AsyncIterator[Processes]:
+    names = [f"l{at + 1}" for at in range(count)]
+    made = Processes(path, names, TABLES, more, **named)
+    await made.prepare()
+    try:
+        if start:
+            made.start()
+            await agree(made, *names)
+        yield made
+    finally:
+        await made.close()
+
+
+def living(made: Processes, by: str) -> set[str]:
+    return {name for name, state in made.views().get(by, {}).items() if state in checks.LIVE}
+
+
+async def agree(made: Processes, *names: str) -> None:
+    """Wait until all who are named see each other alive, and nobody else."""
+
+    def agreed() -> bool:
+        views = made.views()
+        return all(
+            {n: state for n, state in views.get(by, {}).items() if state in checks.LIVE}
+            == dict.fromkeys(names, "alive")
+            for by in names
+        )
+
+    await until(agreed, 0.05)
+
+
+async def sees(made: Processes, by: str, name: str, state: str) -> None:
+    await until(lambda: made.views().get(by, {}).get(name) == state)
+
+
+def sound(made: Processes) -> None:
+    assert not checks.back_to_life(*made.record())
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -247,6 +247,17 @@
             assert seen == [str(at)]
 
 
+def test_a_read_that_a_lost_leader_was_asked_for_is_given_up_once_another_leads() -> None:
+    sim = Rig()
+    sim.write("a", "1")
+    host, old = sim.followers()[0], sim.lead
+    told: list[bool] = []
+    sim.isolate(old, hears=False, speaks=False)  # its answer will never come
+    sim.on(host, lambda node, now: node.read(now, told.append))
+    sim.wait(lambda: sim.node(host).core.leader not in ("", old.name))
+    assert told == [False]
+
+
 def test_a_command_whose_answer_was_lost_is_applied_once() -> None:
     sim = Rig()
     opened = sim.propose(sim.lead, Command(kv.Open()))
