--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -308,8 +308,8 @@
 def test_a_replica_paused_stalled_or_cut_one_way_holds_up_neither_store_nor_drains(tmp_path: Path) -> None:
     result = played(tmp_path, STORED)
     store, asked = result["store"], result["requests"]
-    # Each fault lasts 6 s, and so long waits whoever stays with the replica that it is at. The probe begins at
-    # r1, which goes on to answer what it can answer by itself.
+    # Each fault lasts 6 s, and so long waits whoever stays with the replica that it is at. The probe begins
+    # at r1, which goes on to answer what it can answer by itself.
     assert max(store["write_s"], store["read_s"], store["watch_s"]) < 3.5
     assert asked["none"] == asked["twice"] == 0 and asked["asked"] > 500
 
