Nobody is held dead by a question that went unanswered long ago

The viewer had asked it once, while it stood still, and its contradiction was lost on the way; the verdict came 10 to 30 s later.

Change: a question that got no answer says so for 3 s; before a verdict after that, by the own clock or as another holds it, it is asked anew, directly and through others.

--- a/basaltpoint/peers/machine.py
+++ b/basaltpoint/peers/machine.py
@@ -323,20 +323,21 @@
         suspicion = self._suspicions[row.name] = Suspicion(row.incarnation, now, False)
         suspicion.confirm(row.by, row.refused)
         suspicion.asked = row.by == self.me or not self.options.lifeguard
+        suspicion.asked_at = now if self.options.lifeguard else INF  # SWIM asks once
         if not suspicion.asked:
             half = (suspicion.end(self.options, len(self.view.ring)) - now) / 2
             suspicion.ask_at = now + self._rng.uniform(0.0, min(half, 4 * self.options.probe_ms))
 
     def _asked(self, now: float, row: Row) -> bool:
-        """Whether this member has asked one that others hold dead; if not, it does so now."""
+        """Whether this member has asked one that is to be held dead, and lately; if not, it does so now."""
         suspicion = self._suspicions.get(row.name)
         if suspicion is None or suspicion.incarnation != row.incarnation:
             if not self.options.lifeguard:
                 return True
             self._accept(now, msgspec.structs.replace(row, state=State.SUSPECT))
             suspicion = self._suspicions.get(row.name)
-        if suspicion and not suspicion.asked:
-            suspicion.verdict = row
+        if suspicion and (not suspicion.asked or suspicion.stale(now)):
+            suspicion.asked, suspicion.verdict = False, row
             suspicion.ask_at = min(suspicion.ask_at, now)
             return False
         return True
@@ -422,7 +423,7 @@
             doubt = msgspec.structs.replace(row, state=State.SUSPECT, by=self.me, refused=refused)
             self._accept(now, doubt)
             if suspicion := self._suspicions.get(name):
-                suspicion.asked = True
+                suspicion.asked, suspicion.asked_at = True, now
                 if suspicion.verdict:
                     self._accept(now, suspicion.verdict)
 
--- a/basaltpoint/peers/suspicion.py
+++ b/basaltpoint/peers/suspicion.py
@@ -13,6 +13,8 @@
 from basaltpoint.peers.messages import Row
 from basaltpoint.peers.options import Options
 
+STALE_MS = 3000.0  # a question that got no answer says so long that there is none
+
 
 @dataclass(slots=True)
 class Suspicion:
@@ -25,6 +27,7 @@
     held: float = 0.0  # ms by which the end was put off
     ask_at: float = math.inf  # when this member is to ask it for itself; infinite once it has
     asked: bool = False  # this member has, and so have others for it: no answer
+    asked_at: float = -math.inf  # when that was
     verdict: Row | None = None  # others hold it dead; believed once this member has asked
 
     def confirm(self, who: str, refused: bool) -> bool:
@@ -34,6 +37,10 @@
         self.refused = self.refused or refused
         return new
 
+    def stale(self, now: float) -> bool:
+        """Whether it was asked long ago: it may have stood still then, and its contradiction been lost."""
+        return self.asked and now - self.asked_at > STALE_MS
+
     def end(self, options: Options, members: int) -> float:
         """When it is held dead, if nothing is heard of it."""
         scale = max(1.0, math.log10(max(1, members)))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from basaltpoint.links.frames import pack
 from basaltpoint.peers.actions import Action, Changed, Send
@@ -308,6 +309,28 @@
         return row.state
 
 
+@pytest.mark.parametrize("told", [False, True], ids=["by its own clock", "as another holds it dead"])
+def test_nobody_is_held_dead_by_an_answer_that_failed_to_come_long_ago(told: bool) -> None:
+    """It may have stood still then, and its contradiction been lost: it is asked before the verdict."""
+    lone = Lone()
+    others = tuple(Row(f"m{at}", f"m{at}", 1, State.ALIVE, 5) for at in range(40))
+    lone.peers.heard(lone.now, "l3", "l3", Gossip(others))
+    far = next(row for row in others if row.name not in lone.peers.view.watched())
+    doubt = replace(far, state=State.SUSPECT, by="l3")
+    for by in ("l3", "l2", "m1", "m2"):  # shared by so many it is the first to be decided on
+        lone.peers.heard(lone.now, "l3", "l3", Gossip((replace(doubt, by=by),)))
+    asked = 0.0
+    while lone.state(far.name) is not State.DEAD:
+        now = lone.now
+        if told and now - asked > 5_000.0 and asked:
+            lone.peers.heard(now, "l3", "l3", Gossip((replace(doubt, state=State.DEAD),)))
+        done = lone.go(now + 250.0)
+        if [a for a in done if isinstance(a, Send) and a.to == far.name and isinstance(a.message, Ping)]:
+            asked = lone.now
+        assert lone.now < 120_000.0
+    assert lone.now - asked < 3_000.0 < lone.now
+
+
 def test_a_probe_that_was_out_during_a_pause_accuses_nobody() -> None:
     lone = Lone()
     while not any(probe.indirect for probe in lone.peers.prober.probes.values()):
