--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -9,6 +9,7 @@
 
 With `--against` the platform's limiter and the standalone one of this tree and of each commit are measured in
 turn, each beside the bare relay of its own round, and the median, least and most of the ratios are printed.
+With `--fleet SIZE ...` a standalone limiter alone and as a member of fleets of these sizes, in turn.
 """
 
 from __future__ import annotations
@@ -332,6 +333,44 @@
     return place
 
 
+def fleet(server: str, folder: Path, size: int) -> list[Subject]:
+    """So many limiters that are members of one fleet; the first is the one that is asked."""
+    free = [socket.create_server(("127.0.0.1", 0)) for _ in range(size)]
+    places = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in free]
+    for sock in free:
+        sock.close()
+    seeds = ", ".join(f'"l{at}@{place}"' for at, place in enumerate(places[:3]))
+    made = []
+    for at, place in enumerate(places):
+        own = folder / f"l{at}"
+        own.mkdir(parents=True)
+        path = config(server, 1, ACTIVE, own)
+        member = f'[fleet]\nlisten = "{place}"\nseeds = [{seeds}]\nmost = {size}\n'
+        path.write_text(f'name = "l{at}"\n{path.read_text()}{member}')
+        made.append(part("limiter", str(path)))
+    return made
+
+
+def members(sizes: list[int], seconds: float, rounds: int) -> None:
+    """CPU a request of a limiter alone and of one in fleets of these sizes, in turn."""
+    server = part("server")
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        groups = {"alone": [part("limiter", str(config(server.address, 1, ACTIVE, folder)))]}
+        groups |= {f"of {size}": fleet(server.address, folder / str(size), size) for size in sizes}
+        spent: dict[str, list[float]] = {name: [] for name in groups}
+        try:
+            for _ in range(rounds):
+                for name, group in groups.items():
+                    spent[name].append(measure(group[0], seconds, 1)["cpu_us"])
+        finally:
+            for subject in [server, *(one for group in groups.values() for one in group)]:
+                subject.process.kill()
+    for name, found in spent.items():
+        ratios = [one / alone for one, alone in zip(found, spent["alone"], strict=True)]
+        print(f"{name:8} {statistics.median(found):6.1f} us, {statistics.median(ratios):5.3f} of alone")
+
+
 def against(commits: list[str], seconds: float, rounds: int, connections: int) -> None:
     """Ratios to the bare relay, of this tree and of commits, all of a round in turn."""
     server = part("server")
@@ -442,8 +481,11 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--against", nargs="+", default=[], metavar="COMMIT", help="earlier commits")
     parser.add_argument("--connections", type=int, default=CONNECTIONS, help="with --against (16)")
+    parser.add_argument("--fleet", nargs="+", type=int, default=[], metavar="SIZE", help="as one of so many")
     args_ = parser.parse_args()
-    if args_.against:
+    if args_.fleet:
+        members(args_.fleet, args_.seconds, args_.rounds)
+    elif args_.against:
         against(args_.against, args_.seconds, args_.rounds, args_.connections)
     else:
         compare(args_.seconds, args_.rounds)
