Copies that merge, as a machine without I/O: rows by owner, deltas, pulls; drains as the first kind

Need: the first part of replicated state among limiters: what one knows all are to know, whatever becomes of it.

Change: replication/: rows that one process alone raises, each change numbered; deltas with the interval they vouch for, pushed along the peers' ring and pulled by how far each copy has come and the print of its rows; a drain's word goes by generation, within one the drain wins. Not yet put to work by any process. sortedcontainers holds an owner's rows by the counts of their changes: it is the known library for that.

Found while writing: an answer in several messages must not count as "all up to here" before its last, as what was replaced behind it is in none of the first; and rows of an owner that ended before the ones between were heard left copies apart that thought they had come equally far, so prints of the rows are compared.

--- /dev/null
+++ b/basaltpoint/replication/shelves.py
@@ -0,0 +1,124 @@
+"""All rows that a member holds, by owner, and up to where it has each owner's changes.
+
+A copy is what its owner's changes make of it, so two copies differ only in how far they have come: the join
+of two rows is the one with the higher count, and of two copies the row by row join. Changes may come in any
+order, any number of times.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Iterator
+
+import msgspec
+from sortedcontainers import SortedDict
+
+from basaltpoint.replication.rows import BYTES, ROWS, Entry, Owner
+
+Key = tuple[int, str]
+
+
+class Shelf:
+    """The rows of one owner, by the counts of their changes."""
+
+    def __init__(self) -> None:
+        self.upto = 0  # all changes up to this one are here, or were replaced by later ones that are
+        self._reached = self._goal = 0  # of several messages that bring more: how far they have come
+        self.print = 0  # of all rows together, whatever their order
+        self._rows: dict[Key, Entry] = {}
+        self._order: SortedDict[int, Key] = SortedDict()
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __iter__(self) -> Iterator[Entry]:
+        return iter(self._rows.values())
+
+    def get(self, key: Key) -> Entry | None:
+        return self._rows.get(key)
+
+    def put(self, entry: Entry) -> bool:
+        """Take a row; whether it is news."""
+        key = entry.kind, entry.key
+        held = self._rows.get(key)
+        if held is not None:
+            if held.count >= entry.count:
+                return False
+            del self._order[held.count]
+            self.print ^= _print(held)
+        self.print ^= _print(entry)
+        self._rows[key] = entry
+        self._order[entry.count] = key
+        return True
+
+    def come(self, since: int, upto: int, goal: int) -> bool:
+        """All changes after one, up to another, are here now; whether this copy has come further by it."""
+        if since <= self.upto:
+            self._reached, self._goal = upto, goal
+        elif since <= self._reached and goal == self._goal:
+            self._reached = max(self._reached, upto)
+        if self._reached < self._goal or self._goal <= self.upto:
+            return False
+        self.upto = self._goal
+        return True
+
+    def gap(self, since: int) -> bool:
+        """Whether something before this is not here and not on its way."""
+        return since > max(self.upto, self._reached)
+
+    def since(self, count: int) -> tuple[list[Entry], int]:
+        """Changes after a count, as many as one message may hold; with it, up to where they are all."""
+        found: list[Entry] = []
+        size = 0
+        for at in self._order.irange(minimum=count + 1):
+            if len(found) >= ROWS or size > BYTES:
+                return found, max(count, min(found[-1].count, self.upto))
+            entry = self._rows[self._order[at]]
+            found.append(entry)
+            size += len(entry.value)
+        # Rows above may have come out of turn; what was not heard in between is not vouched for.
+        return found, max(self.upto, count)
+
+
+class Shelves:
+    """Those of all owners."""
+
+    def __init__(self) -> None:
+        self.owners: dict[Owner, Shelf] = {}
+        self._keys: dict[Key, dict[Owner, Entry]] = {}
+
+    def of(self, owner: Owner) -> Shelf:
+        if (shelf := self.owners.get(owner)) is None:
+            shelf = self.owners[owner] = Shelf()
+        return shelf
+
+    def put(self, owner: Owner, entry: Entry) -> bool:
+        """Take a row; whether it is news."""
+        news = self.of(owner).put(entry)
+        if news:
+            self._keys.setdefault((entry.kind, entry.key), {})[owner] = entry
+        return news
+
+    def rows(self, kind: int, key: str) -> Iterable[Entry]:
+        """What all owners hold of one thing."""
+        return self._keys.get((kind, key), {}).values()
+
+    def keys(self, kind: int) -> Iterator[str]:
+        return (key for its, key in self._keys if its == kind)
+
+    def vector(self) -> tuple[tuple[Owner, int, int], ...]:
+        """By owner, up to where its changes are here, and the print of its rows."""
+        found = ((owner, shelf.upto, shelf.print) for owner, shelf in self.owners.items() if len(shelf))
+        return tuple(sorted(found))
+
+    def digest(self) -> int:
+        """The same for copies that hold the same."""
+        return _hash(repr(self.vector()).encode())
+
+
+def _hash(data: bytes) -> int:
+    return int.from_bytes(hashlib.blake2b(data, digest_size=7).digest(), "little")
+
+
+def _print(entry: Entry) -> int:
+    return _hash(msgspec.msgpack.encode(entry))
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -23,6 +23,7 @@
     ("importers", "load", "verify", "standins"),
     ("upstream",),
     ("membership",),
+    ("replication",),
     ("peers",),
     ("store", "counter"),
     ("links",),
