Two messages of replicated state that nothing sends or reads are gone

Read again: an operator's word to a member and its answer stood in replication/rows.py ahead of their use.

--- a/basaltpoint/replication/rows.py
+++ b/basaltpoint/replication/rows.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from basaltpoint.links.frames import Part
 from basaltpoint.peers.messages import Message
 
 KEY = 256  # bytes of the longest key
@@ -64,21 +63,6 @@
     part: bool = False
 
 
-class Told(Part, frozen=True, tag="T"):
-    """The answer to an operator's word; `problem` says why not."""
-
-    ident: int
-    problem: str = ""
-
-
-class DrainTold(Message, frozen=True, tag="D"):
-    """An operator tells one member of a server's drain, or of its end."""
-
-    ident: int = 0
-    server: str = ""
-    draining: bool = True
-
-
 def sound(owner: Owner, entry: Entry) -> str:
     """What is wrong with a row from elsewhere; nothing where it may be taken."""
     if not owner.name or len(owner.name) > KEY or not 0 < owner.epoch < LAST:
