Lists are found by where their braces close: indented, in pieces, several on a line

Cause: the watch cut its answer at line ends (discovery.py, _Stream.data_received), so an indented list was many lines, each refused, and the watch closed and asked again for ever: no change was ever heard, drains included.

Seen by tests over real connections (tests/test_moments_lists.py): four fail without the change; any list, cut anywhere, at any indent, CRLF, two on a line, is found with it.

Found beside it and mended: - a list that stops half way with empty lines behind it was waited for without end; it is asked for anew after 1 s, or at once where a whole list follows it; - a healthy watch of a quiet fleet (empty lines only) counted as a failed call, so that breaks with no news between them lengthened the next wait to 1.5 s; - an answer other than 200 whose body never ends kept the watch open and deaf.

Ruled out: parsing the buffer anew at each chunk (quadratic in the length; a test counts the bytes looked at). A list that fills its line is still read in one go.

--- a/basaltpoint/membership/discovery.py
+++ b/basaltpoint/membership/discovery.py
@@ -14,13 +14,14 @@
 
 from basaltpoint import interface as api
 from basaltpoint.config.address import Address, ConfigError, parse_address
+from basaltpoint.membership.objects import Objects
 from basaltpoint.membership.patience import Patience
 
 log = logging.getLogger(__name__)
 
 SILENCE_S = 4.5  # the agent writes every 2 s; what it has to tell counts as told after 6 s anyway
 CONNECT_S = 1.0
-LONGEST_LINE = 4 << 20  # bytes; a line that never ends must not fill the memory
+WHOLE_S = 1.0  # for the rest of a list to come; the agent writes it in one go
 
 STATES = {
     "active": api.ServerState.READY,
@@ -106,14 +107,17 @@
 
 
 class _Stream(asyncio.Protocol):
-    """One watch: cuts the chunked answer into lines."""
+    """One watch: cuts the chunked answer into objects."""
 
-    def __init__(self, on_line: Callable[[bytes], bool]) -> None:
-        self._on_line = on_line
+    def __init__(self, on_object: Callable[[bytes], bool], on_word: Callable[[], None]) -> None:
+        """`on_object`: takes a list, False where it can't be used; `on_word`: hears that nothing is new."""
+        self._on_object = on_object
+        self._on_word = on_word
         self._parser = httptools.HttpResponseParser(self)
-        self._rest = b""
+        self._objects = Objects()
         self._body = b""
         self._transport: asyncio.Transport | None = None
+        self._short: asyncio.TimerHandle | None = None  # runs while a list has come in part
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.heard = asyncio.get_running_loop().time()
 
@@ -124,19 +128,36 @@
         self.heard = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            log.warning("discovery: %r", error)
+            body, self._body = self._body, b""
+            objects = self._objects.feed(body)
+        except (httptools.HttpParserError, ValueError) as error:
+            log.warning("discovery: the watch can't be read: %r", error)
             self.close()
             return
-        *lines, self._rest = (self._rest + self._body).split(b"\n")
-        self._body = b""
-        if len(self._rest) > LONGEST_LINE:
-            log.warning("discovery: a line of over %d bytes", LONGEST_LINE)
-            self.close()
-        for line in lines:
-            if line.strip() and not self._on_line(line):
+        if body.isspace():
+            self._on_word()
+        for told in objects:
+            if not self._on_object(told):
                 self.close()
                 return
+        self._await_rest(self._objects.unfinished, bool(objects))
+
+    def _await_rest(self, unfinished: bool, another: bool) -> None:
+        """A list that stops half way is asked for anew; empty lines behind it must not keep it waiting."""
+        if self._short and (another or not unfinished):
+            self._short.cancel()
+            self._short = None
+        if unfinished and not self._short:
+            self._short = asyncio.get_running_loop().call_later(WHOLE_S, self._stopped_short)
+
+    def _stopped_short(self) -> None:
+        log.warning("discovery: a list stopped half way")
+        self.close()
+
+    def on_headers_complete(self) -> None:
+        if (status := self._parser.get_status_code()) != 200:
+            log.warning("discovery: answered %d", status)
+            self.close()
 
     def on_body(self, body: bytes) -> None:
         if self._parser.get_status_code() == 200:
@@ -146,11 +167,13 @@
         self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self._short:
+            self._short.cancel()
         if not self.ended.done():
             self.ended.set_result(None)
 
     def close(self) -> None:
-        if self._transport:
+        if self._transport and not self._transport.is_closing():
             self._transport.close()
 
 
@@ -198,7 +221,9 @@
         host, port = self._address
         self._fresh = True
         async with asyncio.timeout(CONNECT_S):
-            transport, stream = await loop.create_connection(lambda: _Stream(self._line), host, port)
+            transport, stream = await loop.create_connection(
+                lambda: _Stream(self._told, self._patience.served), host, port
+            )
         query = f"GET /discovery/hosts?follow=1&since={self.seq} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         transport.write(query.encode())
         try:
@@ -208,15 +233,15 @@
         finally:
             transport.abort()
 
-    def _line(self, line: bytes) -> bool:
-        """Take one line; False where it must be asked for again."""
+    def _told(self, raw: bytes) -> bool:
+        """Take one list; False where it must be asked for again."""
         try:
-            told, sound = parse_list(json.loads(line))
+            told, sound = parse_list(json.loads(raw))
         except (ValueError, RecursionError) as error:
-            log.warning("discovery: line skipped: %r", error)
+            log.warning("discovery: a list can't be read: %r", error)
             return False
         self._patience.served()
-        # Repeats and stragglers are old news; only the first line of a watch may start versions anew.
+        # Repeats and stragglers are old news; only the first list of a watch may start versions anew.
         if told.seq <= self.seq and not (self._fresh and told.whole):
             return True
         self._fresh = False
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -127,7 +127,7 @@
 
     def line(self, line: object) -> bool:
         raw = line if isinstance(line, bytes) else json.dumps(line).encode()
-        return self.watch._line(raw)
+        return self.watch._told(raw)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_moments_lists.py
@@ -0,0 +1,193 @@
+"""Lists at rare moments: indented, in pieces, broken off; each order of events is forced."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from typing import Any
+
+import pytest
+from sockets import Agent, agent, host, limiter, listing, run, until
+
+from basaltpoint.membership import discovery
+from basaltpoint.membership.objects import LONGEST, Objects
+from basaltpoint.membership.patience import Patience
+
+TOLD = listing(7, host('a"}{\\', "127.0.0.1:1"), host("b\n{", "127.0.0.1:2", "leaving"))
+FORMS = {
+    "one line": json.dumps(TOLD).encode() + b"\n",
+    "indented": json.dumps(TOLD, indent=2).encode() + b"\n",
+    "indented by nothing": json.dumps(TOLD, indent=0).encode() + b"\n",
+    "tabs and CRLF": json.dumps(TOLD, indent="\t").replace("\n", "\r\n").encode() + b"  \r\n",
+    "no line end": json.dumps(TOLD).encode(),
+    "two on a line": json.dumps(TOLD).encode() + b" " + json.dumps(TOLD).encode() + b"\n",
+    "two, one indented": json.dumps(TOLD, indent=1).encode() + json.dumps(TOLD).encode() + b"\n",
+}
+
+
+@pytest.mark.parametrize("form", FORMS)
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 64, 1 << 20])
+def test_an_object_is_found_however_it_is_cut(form: str, size: int) -> None:
+    raw, objects, found = FORMS[form], Objects(), list[bytes]()
+    for start in range(0, len(raw), size):
+        found += objects.feed(raw[start : start + size])
+    assert [json.loads(each) for each in found] == [TOLD] * (2 if "two" in form else 1)
+    objects.feed(b"\r\n \n")
+    assert not objects.unfinished
+
+
+def test_any_cut_into_pieces() -> None:
+    """The same objects at random cuts; seeds tell a failure."""
+    raw = b"\n".join(FORMS.values())
+    whole = Objects().feed(raw)
+    for seed in range(200):
+        rng, objects, found, at = random.Random(seed), Objects(), list[bytes](), 0
+        while at < len(raw):
+            size = rng.randrange(1, 400)
+            found += objects.feed(raw[at : at + size])
+            at += size
+        assert found == whole, f"seed {seed}"
+
+
+@pytest.mark.parametrize("junk", [b"nonsense\n", b"[1]\n", b"}\n", b'"text"\n', b"\xff\n", b"{}]"])
+def test_what_is_no_object_is_refused_where_it_stands(junk: bytes) -> None:
+    with pytest.raises(ValueError, match="not an object"):
+        Objects().feed(b"\n" + junk)
+
+
+def test_an_object_without_end_is_refused() -> None:
+    objects = Objects()
+    with pytest.raises(ValueError, match="over"):
+        for _ in range(LONGEST // 65536 + 2):
+            objects.feed(b'{"a":"' + b"x" * 65530)
+
+
+def test_a_list_that_breaks_off_before_another_is_told() -> None:
+    """Wherever it was cut: refused here, or what is found can't be read; never is the next one swallowed."""
+    for form in ("indented", "one line"):
+        for size in range(1, len(FORMS[form]) - 3):
+            objects = Objects()
+            try:
+                objects.feed(FORMS[form][:size])
+                found = objects.feed(b"\n" + FORMS["one line"])
+            except ValueError:
+                continue
+            with pytest.raises(ValueError):
+                json.loads(found[0])
+
+
+def test_the_time_taken_is_linear_in_the_length() -> None:
+    """Counted in bytes looked at: one chunk of a byte each must not start from the front each time."""
+    hosts = [host(f"s-{n}", "127.0.0.1:1") for n in range(2000)]
+    raw, objects = json.dumps(listing(1, *hosts), indent=1).encode(), Objects()
+    seen = 0
+    for start in range(0, len(raw), 100):
+        at = objects._at
+        objects.feed(raw[start : start + 100])
+        seen += max(0, objects._at - at)
+    assert seen <= len(raw)
+
+
+def spread(told: dict[str, Any]) -> bytes:
+    return json.dumps(told, indent=4).encode() + b"\n"
+
+
+def in_pieces(watched: Agent, raw: bytes) -> None:
+    for start in range(0, len(raw), 5):
+        watched.tell(raw[start : start + 5])
+
+
+def test_indented_lists_count_at_a_start_after_a_break_and_after_a_move() -> None:
+    async def test() -> None:
+        async with agent() as old, agent() as new:
+            async with limiter(host("a", "127.0.0.1:1"), watched=old) as rig:
+                await old.watches.get()
+                in_pieces(old, spread(listing(3, host("a", "127.0.0.1:1"), host("b", "127.0.0.1:2"))))
+                await until(lambda: rig.watch.seq == 3)
+                old.cut()
+                assert await old.watches.get() == "/discovery/hosts?follow=1&since=3"
+                old.tell(spread(listing(4, host("b", "127.0.0.1:2", "leaving"), whole=False)))
+                await until(lambda: rig.watch.seq == 4)
+                rig.watch.move(new.address)
+                await new.watches.get()
+                in_pieces(new, spread(listing(2, host("c", "127.0.0.1:3"))))
+                await until(lambda: rig.watch.seq == 2)
+                assert set(rig.limiter._hosts) == {"c"}
+
+    run(test())
+
+
+def test_a_list_that_stops_half_way_is_asked_for_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Though empty lines go on coming: a drain in its other half would be overheard for good."""
+    monkeypatch.setattr(discovery, "WHOLE_S", 0.05)
+
+    async def test() -> None:
+        async with agent() as watched, limiter(host("a", "127.0.0.1:1"), watched=watched) as rig:
+            await watched.watches.get()
+            watched.tell(spread(listing(2, host("a", "127.0.0.1:1", "leaving")))[:60])
+
+            async def lines() -> None:
+                while True:
+                    watched.tell(b"\n")
+                    await asyncio.sleep(0.005)
+
+            task = asyncio.create_task(lines())
+            assert await watched.watches.get() == "/discovery/hosts?follow=1&since=1"
+            task.cancel()
+            watched.tell(spread(listing(2, host("a", "127.0.0.1:1", "leaving"))))
+            await until(lambda: rig.watch.seq == 2)
+
+    run(test())
+
+
+def test_a_quiet_watch_is_no_failed_call() -> None:
+    """Breaks with no news between them must not lengthen the wait until the next call."""
+
+    async def test() -> None:
+        waits: list[int] = []
+
+        class Noting(Patience):
+            def wait_s(self) -> float:
+                waits.append(self._failed)
+                return 0.0
+
+        async with agent() as watched, limiter(host("a", "127.0.0.1:1"), watched=watched) as rig:
+            rig.watch._patience = Noting(random.Random(1))
+            await watched.watches.get()
+            for _ in range(4):
+                watched.tell(b"\n")
+                await until(lambda: rig.watch._patience._failed == 0)
+                watched.cut()
+                await watched.watches.get()
+            assert waits == [0] * 4
+
+    run(test())
+
+
+def test_a_status_other_than_200_ends_the_watch() -> None:
+    """Whatever its body says, and at once: it may never end."""
+
+    async def test() -> None:
+        calls = asyncio.Queue[float]()
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            calls.put_nowait(time.monotonic())
+            raw = spread(listing(9, host("z", "127.0.0.1:9")))
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(raw), raw)
+            )
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        async with limiter(host("a", "127.0.0.1:1")) as rig:
+            rig.watch._address = server.sockets[0].getsockname()
+            task = asyncio.create_task(rig.watch.run())
+            for _ in range(3):
+                await calls.get()
+            assert (rig.watch.seq, set(rig.limiter._hosts)) == (1, {"a"})
+            task.cancel()
+        server.close()
+
+    run(test())
