A drain answers all before SIGKILL; no close over a request that has come; who left is not sent on

One rule now: close_between looks first, _end lingers. - the last accept before the listener closes took 64 connections at most; the rest of a backlog was reset with whole requests in it. - a request that waited in the backlog or behind a pause was sent on though its client had left; and one whose connection to a server was still coming up was sent once it was up, where settings forbid to cancel (nothing had begun that could be cancelled).

Ruled out: shortening the deadline that the module is told (it would take requests in a drain for late repeats and refuse them); looking at the socket before each request (only those that may have waited are looked at).

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import traceback
 from collections import deque
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 from basaltpoint.interface import Status
 from basaltpoint.telemetry.figures import Counts, Figures
 
+GRACE_MS = 20.0  # for what is due at the end of all time to be answered by the module itself
 MOOTS = 100  # sends that can't be made, told at a time
 COMPACT = 256  # entries of the timer heap; from here on it is rebuilt once most of them are over
 
@@ -71,6 +73,13 @@
     attempt: int
 
 
+class Hurry(NamedTuple):
+    """Give the attempt that is out up at `until_ms` at the latest, whatever it was begun with."""
+
+    request: int
+    until_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Begin:
     """Pass on the head of the answer that has come; what follows it streams."""
@@ -95,7 +104,7 @@
     text: str
 
 
-Effect = Dispatch | Withdraw | Begin | Reply | Fault | api.Probe | api.CloseIdle | api.Log
+Effect = Dispatch | Withdraw | Hurry | Begin | Reply | Fault | api.Probe | api.CloseIdle | api.Log
 
 
 class Module(Protocol):
@@ -144,6 +153,7 @@
         self.entries: dict[int, Entry] = {}
         self.names: set[bytes] = set()  # of the open requests
         self.open = 0
+        self.latest_ms = math.inf  # nothing is answered later; see `hasten`
         self._count = 0
         self._moots = 0  # sends that could not be made, in this run
         self._timers: list[tuple[float, int, int]] = []  # when, request (0: the module's), token
@@ -156,17 +166,17 @@
         self._count += 1
         cls, plan, customer, units, doors, wait_ms, early_ms, pool, name = ticket
         ident, counts = self._count, self.figures.of(cls)
-        if self.open >= self.max_open:
+        if self.open >= self.max_open or now >= self.latest_ms:
             return ident, [_counted(counts, Reply(ident, Ending.BUSY))]
         if name and name in self.names:
             # Sent on, a server would see it as a second copy of the one that is open.
             return ident, [_counted(counts, Reply(ident, Ending.TWIN))]
         deadline = now + max(wait_ms - early_ms, wait_ms / 2)
-        self.entries[ident] = Entry(name, counts, deadline, wait_ms=wait_ms)
+        self.entries[ident] = Entry(name, counts, min(deadline, self.latest_ms), wait_ms=wait_ms)
         if name:
             self.names.add(name)
         self.open += 1
-        self._plan(now + wait_ms, ident, 0)
+        self._plan(min(now + wait_ms, self.latest_ms + GRACE_MS), ident, 0)
         self._events.append(api.Arrival(ident, cls, plan, customer, units, doors, deadline, pool))
         return ident, self._run(now)
 
@@ -240,8 +250,23 @@
         """The body is whole: from now on the client's wait counts, and the server's time."""
         if (entry := self.entries.get(ident)) and entry.uploading:
             entry.uploading, entry.sent_ms = False, now
-            entry.deadline_ms = now + entry.wait_ms
-            self._plan(now + entry.wait_ms, ident, 0)
+            entry.deadline_ms = min(now + entry.wait_ms, self.latest_ms)
+            self._plan(min(now + entry.wait_ms, self.latest_ms + GRACE_MS), ident, 0)
+
+    def hasten(self, now: float, latest_ms: float) -> list[Effect]:
+        """From here on every request is answered by then, one whose body still comes too: the process ends.
+
+        The module goes on deciding by its own times; what it would begin beyond this can't be sent. An answer
+        that is being passed on is neither cut nor changed here.
+        """
+        self.latest_ms = latest_ms
+        for ident, entry in self.entries.items():
+            if entry.open and not entry.head_ms and (entry.uploading or entry.deadline_ms > latest_ms):
+                entry.uploading, entry.deadline_ms = False, latest_ms
+                self._plan(latest_ms + GRACE_MS, ident, 0)
+                if entry.out is not None:
+                    self._effects.append(Hurry(ident, latest_ms))
+        return self._run(now)
 
     def tell(self, now: float, event: api.Event) -> list[Effect]:
         """Hand on what is the module's alone: lists, probes' results, new settings."""
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -38,6 +38,7 @@
 DRAIN_MOST_S = 0.6
 FIRST_S = 0.3  # what a new connection gets for its first request, also during a drain
 FLUSH_S = 0.2
+LAST_S = 0.05  # for what was answered at the very end to be written
 CROWDED = 0.25  # of the connections allowed; with more open, each ends behind its answer
 KILL_S = 0.7  # after the longest deadline, counted as KILL_MOST_S where it is longer, SIGKILL may come
 KILL_MOST_S = 3.0
@@ -243,8 +244,9 @@
 class _Client(asyncio.Protocol):
     """One connection of a client."""
 
-    def __init__(self, clients: Clients) -> None:
+    def __init__(self, clients: Clients, sock: socket.socket) -> None:
         self._clients = clients
+        self._sock = sock  # to look at what has not been read
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._calls: deque[Call] = deque()
@@ -268,6 +270,7 @@
         self._old = False  # it speaks HTTP/1.0 and knows no chunks
         self.served = False
         self.taken = False  # a whole request has come
+        self._waited = True  # what is read next may have lain in the socket for long
 
     # --- Connection ----------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -316,6 +319,7 @@
                 waited = monotonic() - self._paused_at  # by us, not by the client
                 self.made += waited
                 self.begun = self.begun + waited if self.begun is not None else None
+                self._waited = True
                 self._transport.resume_reading()
 
     def close(self) -> None:
@@ -323,6 +327,22 @@
         if self._transport:
             self._transport.close()
 
+    def close_between(self) -> bool:
+        """Close between two requests; False where the next one lies in the socket: it has come in time."""
+        if not self.idle or self._unread() > 0:
+            return False
+        self.close()
+        return True
+
+    def _unread(self) -> int:
+        """1 where bytes lie in the socket unread, 0 where none do, -1 where its client has gone."""
+        try:
+            return 1 if self._sock.recv(1, socket.MSG_PEEK) else -1
+        except BlockingIOError:
+            return 0
+        except OSError:
+            return -1
+
     def abort(self) -> None:
         self._deaf = True
         if self._transport:
@@ -458,6 +478,11 @@
             if self._deaf and not self._calls:
                 self._end()  # its answer went out ahead of the body's end, with nothing to close behind it
             return
+        if self._waited:
+            self._waited = False
+            if self._unread() < 0:
+                self._deaf = True  # it left while this lay here; its end is read next
+                return
         keep = self._keep
         self._deaf = not keep
         self._take(keep)
@@ -630,10 +655,16 @@
         self._deaf = True
         if self._transport is None:
             return
-        if not self._rejected:
+        if self._transport.is_closing():
+            return
+        # Closing over bytes that were not read resets the connection, and the answer with it.
+        if not self._rejected and self._unread() <= 0:
             self._transport.close()
         else:
             self.begun = None
+            if self._paused:
+                self._paused = False
+                self._transport.resume_reading()
             self._transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
 
@@ -709,42 +740,43 @@
         self._pause()
         self._listener.close()
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Take what waits, `ACCEPTS` at a time; whether there may be more."""
         for _ in range(ACCEPTS):
             if len(self._open) >= self._most * self.part and not self._make_room():
                 self._rest(ACCEPT_AGAIN_S)
-                return
+                return False
             try:
                 sock, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 if error.errno not in NO_DESCRIPTORS:
                     raise
                 log.warning("no descriptor for a new connection: %s", error)
                 self._make_room()
                 self._rest(ACCEPT_AGAIN_S)
-                return
+                return False
             self._last_accept = monotonic()
             self.adopt(sock)
+        return True
 
     def adopt(self, sock: socket.socket) -> None:
         """Serve a connection that was accepted, here or by another process."""
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = _Client(self)
+        client = _Client(self, sock)
         self._open.add(client)
         self._joining.join(sock, client, lambda: self.gone(client))
 
     def _make_room(self) -> bool:
         """Close the connection that has been between requests for longest; new ones get their turn."""
         limit = monotonic() - FIRST_S
-        client = next((c for c in self.idle if c.served or c.made < limit), None)
-        if client is None:
-            return self._end_slowest(limit)
-        del self.idle[client]
-        client.close()
-        return True
+        for client in [c for c in self.idle if c.served or c.made < limit]:
+            if client.close_between():
+                del self.idle[client]
+                return True
+        return self._end_slowest(limit)
 
     def _end_slowest(self, limit: float) -> bool:
         """End the request that has been coming in for longest: a crowd of them must not keep others out."""
@@ -778,7 +810,7 @@
         limit = monotonic() - STALL_S
         for client in [c for c in self._open if c.stalled(limit)]:
             if client.begun is None:
-                client.close()
+                client.close_between()
             else:
                 client.reject(408)
         limit = monotonic() - STUCK_S
@@ -793,19 +825,25 @@
 
     async def hand_over(self, send: Callable[[int], bool]) -> None:
         """Give every connection to the next process as it falls idle, until time is up."""
-        self.draining, self._pass = True, send
-        self._drained_at = monotonic()
-        end = self._drained_at + self._kill_s - SPARE_S
+        self._pass = send
+        end = self._begin_drain()
         while (self._open or self._joining) and monotonic() < end:
             for client in list(self.idle):
                 self.passes(client)
             await asyncio.sleep(0.01)
         self._pass = None
 
+    def _begin_drain(self) -> float:
+        """From here on the process ends, and nothing is answered later than the time that this returns."""
+        if not self.draining:
+            self.draining, self._drained_at = True, monotonic()
+            self.limiter.hasten(self._drained_at + self._kill_s - SPARE_S)
+        return self._drained_at + self._kill_s - SPARE_S
+
     async def drain(self) -> None:
         """Finish what was taken: listen while connections still come, then until all is answered."""
-        start = self._drained_at or monotonic()
-        self.draining = True
+        end = self._begin_drain()
+        start = self._drained_at
         if self._held:
             # What waits in the platform's socket is the next process's. A client leaves behind an answer.
             self.closing = True
@@ -813,22 +851,30 @@
             if now >= max(start + DRAIN_S, self._last_accept + QUIET_S):
                 break
             await asyncio.sleep(0.01)
-        if not self._held:
-            self._accept()  # what came since the last turn is taken, too
+        while not self._held and self._accept():
+            pass  # what came since the last turn is taken, too
         self.stop_listening()
-        while self._open and monotonic() < start + self._stays_s:
+        while self._open and monotonic() < min(start + self._stays_s, end):
             await asyncio.sleep(0.01)
         self.closing = True
         while self.limiter.open or any(client.due(monotonic() - FIRST_S) for client in self._open):
+            if monotonic() >= end + LAST_S:
+                log.warning("%d requests were still in hand at the end", self.limiter.open)
+                break
+            self._close_idle(monotonic() - FIRST_S)
+            await asyncio.sleep(0.01)
+        # What lies in a socket still has come in time: it is read, and answered as too late to be sent on.
+        flushed = monotonic() + FLUSH_S
+        while self._open and monotonic() < flushed:
             self._close_idle(monotonic())
             await asyncio.sleep(0.01)
         for client in list(self._open):
             client.close()
-        end = monotonic() + FLUSH_S
-        while self._open and monotonic() < end:
+        while self._open and monotonic() < flushed + LAST_S:
             await asyncio.sleep(0.01)
 
-    def _close_idle(self, now: float) -> None:
-        for client in [c for c in self.idle if c.served or c.made < now - FIRST_S]:
-            self.idle.pop(client, None)
-            client.close()
+    def _close_idle(self, since: float) -> None:
+        """Close what stands between two requests, and what has said nothing since then."""
+        for client in [c for c in self.idle if c.served or c.made < since]:
+            if client.close_between():
+                self.idle.pop(client, None)
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -15,7 +15,7 @@
 from zlib import crc32
 
 from basaltpoint import interface as api
-from basaltpoint.core.table import Begin, Dispatch, Effect, Fault, Reply, Table, Ticket, Withdraw
+from basaltpoint.core.table import Begin, Dispatch, Effect, Fault, Hurry, Reply, Table, Ticket, Withdraw
 from basaltpoint.fronts.platform.config import Config
 from basaltpoint.fronts.platform.passage import Call, Passage
 from basaltpoint.fronts.shell import DAY_S, EARLY_MS, EPOCH_MS, Shell
@@ -168,6 +168,16 @@
         if self._passages.pop(passage.ident, None):
             passage.gone()
             self.do(self.table.abandon(self.now(), passage.ident))
+            self._keep_back(passage.ident)
+
+    def _keep_back(self, ident: int) -> None:
+        """Nobody waits any more: what no server has begun is not begun, whatever may be cancelled there."""
+        if (attempt := self._attempts.get(ident)) and not attempt.written:
+            attempt.cancel()
+
+    def hasten(self, latest: float) -> None:
+        """This process ends: from here on all is answered by then, a time of the loop's clock."""
+        self.do(self.table.hasten(self.now(), self.now() + (latest - monotonic()) * 1000))
 
     def listed(self, told: HostList) -> None:
         self._list(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
@@ -217,11 +227,15 @@
             case Reply():
                 if passage := self._passages.pop(effect.request, None):
                     passage.reply(effect)
+                    self._keep_back(effect.request)
                     if self.on_ended:
                         self.on_ended(passage.name)
             case Withdraw():
                 if attempt := self._attempts.get(effect.request):
                     attempt.cancel()
+            case Hurry():
+                if attempt := self._attempts.get(effect.request):
+                    attempt.rearm(min(attempt.until, self.loop_time(effect.until_ms)))
             case api.Probe():
                 self._probe(effect.server)
             case api.CloseIdle():
@@ -241,7 +255,7 @@
         until = self.loop_time(effect.until_ms)
         attempt = WholeAttempt(
             call.forward + left.encode() + call.body,
-            asyncio.get_running_loop().time() + DAY_S if call.streamed else until,
+            self._upload_ends if call.streamed else until,
             partial(self._ended, passage, effect.attempt),
             partial(self._sent, passage.cls),
             passage,
@@ -251,6 +265,11 @@
         self._attempts[ident] = attempt
         self._servers.begin(effect.server, attempt)
 
+    @property
+    def _upload_ends(self) -> float:
+        """A body that streams is ended where it stands still, and with this process."""
+        return min(asyncio.get_running_loop().time() + DAY_S, self.loop_time(self.table.latest_ms))
+
     def _sent(self, cls: int) -> None:
         self.figures.of(cls).sends += 1
 
--- a/basaltpoint/fronts/shell.py
+++ b/basaltpoint/fronts/shell.py
@@ -81,7 +81,8 @@
         now, wait = self.now(), passage.wait_ms
         self.table.uploaded(now, passage.ident)
         if passage.attempt and not passage.passing:
-            passage.attempt.rearm(self.loop_time(now + max(wait - EARLY_MS, wait / 2)))
+            until = min(now + max(wait - EARLY_MS, wait / 2), self.table.latest_ms)
+            passage.attempt.rearm(self.loop_time(until))
         self.arm()
 
     # --- Time ------------------------------------------------------------------------------------
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -76,13 +76,16 @@
             self.until = until
             self._timer = asyncio.get_running_loop().call_at(until + TIMER_S, self._time_out)
 
+    @property
+    def written(self) -> bool:
+        """Whether its last byte has gone: without it no server has begun it."""
+        return self.connection is not None and self.connection.written
+
     def cancel(self) -> None:
         self._give_up(Status.CANCELLED)
 
     def _time_out(self) -> None:
-        # Without its last byte written no server has begun it.
-        written = self.connection is not None and self.connection.written
-        self._give_up(Status.TIMEOUT if written else Status.CONNECT_FAILED)
+        self._give_up(Status.TIMEOUT if self.written else Status.CONNECT_FAILED)
 
     def _give_up(self, status: Status) -> None:
         if self.connection:
