A second answer is nobody's; a client that left unread gets no further attempt; counts hold

Where a server answers twice, some milliseconds apart, the second would be the answer to the next request, of another client: nothing in it tells the two apart. A connection now rests 30 ms. Asked of the system now (TCP_INFO), for paused connections and what was read after a pause alone. - A connection lost, or late, between coming up and its opener's end was counted down twice, so that the bound on connections grew with each. - An effect that raised left those behind it waiting for whatever happened next.

Ruled out: a connection that comes up after its server drained, left or moved (a test of before holds); a list that removes a server while a send to it stands in the queue (the queue is empty whenever a list is taken; a fault there now ends its own request alone).

--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -49,6 +49,7 @@
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 WHOLE = re.compile(rb"[0-9]{1,5}")
 FIRST_PART = re.compile(rb"/([^/?#]*)")
+ESTABLISHED = 1  # of TCP_INFO's states; after the other side's end, or a reset, it is another
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Where one of these comes twice and differs, another reader may go by the other one.
 SINGLE = frozenset(
@@ -122,6 +123,14 @@
         self.done = self.broken = False
         self.ends = False  # the connection ends behind it
 
+    @property
+    def left(self) -> bool:
+        """Whether its client has gone unnoticed, as nothing is read from the connection for now."""
+        return self._connection.left
+
+    def hang_up(self) -> None:
+        self._connection.abort()
+
     def answer(self, code: int, body: bytes = b"", content_type: bytes = b"", retry_s: float = 0.0) -> None:
         if self.reply is None:
             headers = b"Content-Type: " + content_type + b"\r\n" if content_type else b""
@@ -334,6 +343,19 @@
         self.close()
         return True
 
+    @property
+    def left(self) -> bool:
+        """Whether the client has gone while nothing was read: its end lies behind what it had sent."""
+        return self._paused and self._left()
+
+    def _left(self) -> bool:
+        """Whether the client has ended its side, whatever lies unread before that."""
+        try:
+            state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            state = ESTABLISHED
+        return state != ESTABLISHED or self._unread() < 0
+
     def _unread(self) -> int:
         """1 where bytes lie in the socket unread, 0 where none do, -1 where its client has gone."""
         try:
@@ -394,6 +416,7 @@
             for start in range(0, len(data), HEAD_LIMIT):
                 self._feed(data[start : start + HEAD_LIMIT])
         self._reading = False
+        self._waited = self._waited and (self._paused or len(data) > HEAD_LIMIT)
         first = self._calls[0] if self._calls else None
         if first is None or first.reply or first.started or first.broken:
             self.flush()
@@ -478,11 +501,9 @@
             if self._deaf and not self._calls:
                 self._end()  # its answer went out ahead of the body's end, with nothing to close behind it
             return
-        if self._waited:
-            self._waited = False
-            if self._unread() < 0:
-                self._deaf = True  # it left while this lay here; its end is read next
-                return
+        if self._waited and self._left():
+            self._deaf = True  # it left while this lay here; its end is read next
+            return
         keep = self._keep
         self._deaf = not keep
         self._take(keep)
--- a/basaltpoint/fronts/platform/config.py
+++ b/basaltpoint/fronts/platform/config.py
@@ -19,6 +19,7 @@
 CONNECT_MS = 250.0
 IDLE_MS = 15_000.0
 REUSE_S = 0.05  # a connection that was free for longer may be ending unseen; a new one costs little, but
+REST_S = 0.03  # after an answer, before the connection's next request: a second answer comes some ms later
 KEPT_PART = 0.5  # of the time a server keeps it, where a handshake has a price
 ADVICE_MS = 500.0  # a client is told to stay away for so long at most
 MAX_OPEN = 1000  # requests in hand: with bodies of 64 KiB at either end they stay within the memory
@@ -40,6 +41,7 @@
     connect_s: float
     idle_s: float  # a server closes a connection that has stood idle for so long
     reuse_s: float  # one that was free for longer is not used again
+    rest_s: float  # nor is one that was free for less
     known: Any  # the last list of servers, in discovery's form
 
 
@@ -127,5 +129,6 @@
         connect_s=_number(ceilings, "connectTimeoutMs", CONNECT_MS) / 1000,
         idle_s=idle_s,
         reuse_s=idle_s * KEPT_PART if priced else min(idle_s * KEPT_PART, REUSE_S),
+        rest_s=REST_S,
         known=raw.get("known"),
     )
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -21,7 +21,7 @@
 from basaltpoint.fronts.shell import DAY_S, EARLY_MS, EPOCH_MS, Shell
 from basaltpoint.handover import state
 from basaltpoint.handover.document import Estate, put
-from basaltpoint.interface import ServerState
+from basaltpoint.interface import ServerState, Status
 from basaltpoint.membership.discovery import Host, HostList, host_form, parse_list
 from basaltpoint.policy import Gateway
 from basaltpoint.telemetry.figures import Figures, Gauges
@@ -73,7 +73,7 @@
         # One offset for good: converted afresh each time, a start would seem to move and be a restart.
         self._wall_ms = estate.wall_ms if estate else EPOCH_MS - time.time() * 1000
         most = int((config.sockets - MARGIN) * SERVER_PART)
-        self._servers = Servers(most, config.connect_s, config.reuse_s, connection)
+        self._servers = Servers(most, config.connect_s, config.reuse_s, connection, config.rest_s)
         self._numbers = dict(estate.numbers) if estate else {}  # of the servers that are not gone
         # Never used again: outcomes may come after the end.
         self._next_number = itertools.count(max(self._numbers.values(), default=-1) + 1)
@@ -251,6 +251,11 @@
     def _dispatch(self, effect: Dispatch) -> None:
         ident, passage = effect.request, self._passages[effect.request]  # the table sends for no other
         call = passage.call
+        if call.left:  # unread, as nothing is read from it now
+            call.hang_up()
+            self.abandon(passage)
+            self.do(self.table.ended(self.now(), ident, effect.attempt, Status.CONNECT_FAILED))
+            return
         left = f"Req-Deadline: {(effect.until_ms - self.now()) / 1000:.3f}\r\n\r\n"
         until = self.loop_time(effect.until_ms)
         attempt = WholeAttempt(
--- a/basaltpoint/fronts/platform/passage.py
+++ b/basaltpoint/fronts/platform/passage.py
@@ -31,6 +31,9 @@
     def streamed(self) -> bool: ...  # its body comes piece by piece, and goes on so
     @property
     def chunked(self) -> bool: ...  # and its length is not told
+    @property
+    def left(self) -> bool: ...  # its client has gone, and its connection could not tell
+    def hang_up(self) -> None: ...  # end the connection: nobody is there
     def answer(
         self, code: int, body: bytes = b"", content_type: bytes = b"", retry_s: float = 0.0
     ) -> None: ...
--- a/basaltpoint/fronts/shell.py
+++ b/basaltpoint/fronts/shell.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from collections import deque
 from typing import Protocol
 
-from basaltpoint.core.table import Effect, Table
+from basaltpoint.core.table import Dispatch, Effect, Table
+from basaltpoint.interface import Status
 from basaltpoint.upstream.servers import TIMER_S, Attempt
 
+log = logging.getLogger(__name__)
+
 EPOCH_MS = 1e9  # the module's clock starts here, so that no start of a server falls to 0 ('long ago')
 
 
@@ -59,7 +63,16 @@
         self._busy = True
         try:
             while self._effects:
-                self.carry_out(self._effects.popleft())
+                effect = self._effects.popleft()
+                try:
+                    self.carry_out(effect)
+                except Exception:
+                    # A fault in one must not leave those behind it waiting for whatever happens next.
+                    log.exception("an effect could not be carried out: %r", effect)
+                    if isinstance(effect, Dispatch):  # its end is owed, and it may have been written
+                        self._effects += self.table.ended(
+                            self.now(), effect.request, effect.attempt, Status.RESET
+                        )
         finally:
             self._busy = False
         self.arm()
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -103,9 +103,11 @@
         self._transport: asyncio.Transport | None = None
         self.written = False
         self.idle_since = 0.0
+        self.made = False  # from then on its loss is told, and counted there
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's own is no subclass of it
+        self.made = True
 
     def start(self, attempt: Attempt) -> None:
         """Write the attempt's message and await its answer."""
@@ -144,11 +146,18 @@
         connect_s: float,
         idle_s: float,
         make: Callable[[Servers, Server, socket.socket], Connection],
+        rest_s: float = 0.0,
     ) -> None:
-        """`idle_s`: a connection that was free for longer is not used again."""
+        """`idle_s`: a connection that was free for longer is not used again.
+
+        `rest_s`: nor is one that was free for less. A server that answers twice does so some milliseconds
+        later; what it says then would be taken for the answer to the next request. It costs a new connection
+        where requests follow one another faster than that.
+        """
         self._most = most
         self._connect_s = connect_s
         self._idle_s = idle_s
+        self._rest_s = rest_s
         self._make = make
         self._servers: dict[int, Server] = {}
         self._connecting: set[asyncio.Task[None]] = set()
@@ -177,19 +186,29 @@
         return any(server.ready for server in self._servers.values())
 
     def begin(self, number: int, attempt: A) -> A:
-        """Begin an attempt over the latest used free connection, or over a new one."""
+        """Begin an attempt over the latest used free connection that has rested, or over a new one."""
         server = self._servers[number]
-        while server.idle:
-            connection = server.idle.pop()
-            if connection.idle_since >= monotonic() - self._idle_s and connection.fresh():
-                connection.start(attempt)
-                return attempt
-            connection.drop()
+        if server.idle and (connection := self._rested(server)):
+            connection.start(attempt)
+            return attempt
         task = asyncio.get_running_loop().create_task(self._connect(server, attempt))
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
         return attempt
 
+    def _rested(self, server: Server) -> Connection | None:
+        """Take out the latest used free connection that may be used again; what is of no use goes."""
+        now, idle = monotonic(), server.idle
+        for index in range(len(idle) - 1, -1, -1):
+            connection = idle[index]
+            if connection.idle_since > now - self._rest_s:
+                continue
+            del idle[index]
+            if connection.idle_since >= now - self._idle_s and connection.fresh():
+                return connection
+            connection.drop()
+        return None
+
     async def _connect(self, server: Server, attempt: Attempt) -> None:
         """Open a connection for an attempt; if that is over by then, it is kept for the next."""
         if server.most and server.open >= server.most:
@@ -201,7 +220,7 @@
             return
         self._open += 1
         server.open += 1
-        dial, sock = server.dial, None
+        dial, sock, connection = server.dial, None, None
         try:
             async with asyncio.timeout(self._connect_s):
                 loop = asyncio.get_running_loop()
@@ -212,10 +231,13 @@
                 connection = self._make(self, server, sock)
                 await loop.create_connection(lambda: connection, sock=sock)
         except (OSError, TimeoutError):
-            self._open -= 1
-            server.open -= 1
-            if sock:
-                sock.close()
+            if connection and connection.made:  # it was lost, or late, between coming up and here
+                connection.drop()
+            else:
+                self._open -= 1
+                server.open -= 1
+                if sock:
+                    sock.close()
             attempt.end(Answer(Status.CONNECT_FAILED))
             return
         if not server.ready or server.dial != dial:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -212,6 +212,7 @@
         "connect_s": 0.25,
         "idle_s": 30.0,
         "reuse_s": 0.05,
+        "rest_s": 0.0,  # most tests ask over one connection at once
         "known": listing(1, *hosts),
     }
     return Config(**{**values, **changes})
--- /dev/null
+++ b/tests/test_moments_servers.py
@@ -0,0 +1,173 @@
+"""Connections to servers at rare moments; each order of events is forced, over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import Any
+
+import pytest
+from sockets import Request, backend, echo, host, limiter, message, run, until
+
+from basaltpoint.core.table import Dispatch
+from basaltpoint.fronts.platform.config import REST_S
+from basaltpoint.interface import Status
+from basaltpoint.upstream.servers import Answer, Servers
+from basaltpoint.upstream.whole import WholeAttempt, connection
+
+TWICE = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
+ASK = b"GET /read HTTP/1.1\r\n\r\n"
+
+
+def test_a_second_answer_is_nobodys() -> None:
+    """It comes late, when the next request would have been written behind the first answer."""
+
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            if len(server.requests) > 1:
+                # Only the next request sets the late one free: the worst order, every time.
+                server.requests[0].writer.write(TWICE)
+            if request.connection > 1 or len(server.requests) == 1:
+                await echo(request)
+
+        async with backend(script) as server, limiter(host("a", server.address), rest_s=REST_S) as rig:
+            client = await rig.connect()
+            assert (await client.ask(message("fix", "one"))).body == b"one"
+            assert (await client.ask(message("fix", "two"))).body == b"two"
+            assert [request.connection for request in server.requests] == [1, 2]
+            await server.requests[0].closed()  # by what nobody had asked for
+
+    run(test())
+
+
+def test_a_connection_that_has_rested_is_used_again() -> None:
+    """The latest used of those; one that has not rested stays for later."""
+
+    async def test() -> None:
+        async with backend(echo) as server:
+            servers, loop = Servers(10, 1.0, 60.0, connection, rest_s=30.0), asyncio.get_running_loop()
+            name, port = server.address.split(":")
+            servers.place(1, (name, int(port)), True)
+
+            async def ask() -> Status:
+                ended: asyncio.Future[Answer] = loop.create_future()
+                raw = b"GET /read HTTP/1.1\r\nReq-Id: x\r\n\r\n"
+                servers.begin(1, WholeAttempt(raw, loop.time() + 20, ended.set_result))
+                return (await ended).status
+
+            for _ in range(3):
+                assert await ask() is Status.OK
+            assert [request.connection for request in server.requests] == [1, 2, 3]
+            idle = servers._servers[1].idle
+            idle[0].idle_since -= 31.0
+            idle[1].idle_since -= 30.5
+            assert await ask() is Status.OK
+            assert server.requests[-1].connection == 2
+            servers.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("lost", [True, False], ids=["lost", "late"])
+def test_a_connection_that_ends_as_it_comes_up_is_counted_once(lost: bool) -> None:
+    """Its protocol had it, and then its opener was told that it failed."""
+
+    async def test() -> None:
+        async with backend() as server:
+            servers, loop = Servers(10, 1.0, 60.0, connection), asyncio.get_running_loop()
+            create = loop.create_connection
+
+            async def fails(*args: Any, **more: Any) -> Any:
+                transport, _ = await create(*args, **more)
+                if lost:
+                    transport.abort()
+                    await asyncio.sleep(0)
+                raise TimeoutError
+
+            loop.create_connection = fails  # type: ignore[method-assign]
+            name, port = server.address.split(":")
+            servers.place(1, (name, int(port)), True)
+            ended: asyncio.Future[Answer] = loop.create_future()
+            servers.begin(1, WholeAttempt(ASK, loop.time() + 20, ended.set_result))
+            assert (await ended).status is Status.CONNECT_FAILED
+            await until(lambda: not servers._connecting)
+            await until(lambda: servers._open == 0)
+            await asyncio.sleep(0.02)  # whatever is told of it later must not count again
+            assert (servers._open, servers._servers[1].open) == (0, 0)
+
+    run(test())
+
+
+def test_an_effect_that_raises_keeps_no_other_waiting(caplog: pytest.LogCaptureFixture) -> None:
+    """Its request is answered as one that may have run; those behind it go on in the same turn."""
+
+    async def test() -> None:
+        async with backend(echo) as server, limiter(host("a", server.address)) as rig:
+            carry_out, broken = rig.limiter._servers.begin, list[int]()
+
+            def begin(number: int, attempt: Any) -> Any:
+                if not broken:
+                    broken.append(number)
+                    raise RuntimeError("a fault of this program")
+                return carry_out(number, attempt)
+
+            rig.limiter._servers.begin = begin  # type: ignore[method-assign]
+            client, other = await rig.connect(), await rig.connect()
+            client.send(message("fix", "broken"))
+            assert (await client.answer()).code == 502
+            assert (await other.ask(message("fix", "sound"))).body == b"sound"
+            assert rig.limiter.open == 0 and not rig.limiter.table.entries
+
+    run(test())
+    assert any(r.levelno == logging.ERROR and "Dispatch" in r.getMessage() for r in caplog.records)
+    assert Dispatch.__name__ == "Dispatch"
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset"])
+def test_no_further_attempt_for_a_client_that_left_while_nothing_was_read_from_it(how: str) -> None:
+    """Four requests stand on its connection, more lie in the socket, and its end lies behind them."""
+
+    async def test() -> None:
+        async with backend() as server, limiter(host("a", server.address)) as rig:
+            sock = socket.create_connection(rig.clients.address)
+            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4)))
+            held = [await server.arrived.get() for _ in range(4)]
+            [client] = rig.clients._open
+            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4, 8)))
+            assert client._paused
+            if how == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            if how == "half-close":
+                sock.shutdown(socket.SHUT_WR)
+            else:
+                sock.close()
+            await until(lambda: client._left())
+            for request in held:
+                request.reply("500 Internal Server Error")  # each would be sent once more
+            await until(lambda: not rig.clients._open and not rig.limiter.open)
+            assert len(server.requests) == 4
+            sock.close()
+
+    run(test())
+
+
+def test_requests_behind_a_pause_are_not_sent_on_once_their_client_has_left() -> None:
+    """The ones ahead are answered, reading goes on, and what lay in the socket is nobody's any more."""
+
+    async def test() -> None:
+        async with backend() as server, limiter(host("a", server.address)) as rig:
+            sock = socket.create_connection(rig.clients.address)
+            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4)))
+            held = [await server.arrived.get() for _ in range(4)]
+            [client] = rig.clients._open
+            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4, 8)))
+            sock.shutdown(socket.SHUT_WR)
+            await until(lambda: client._left())
+            for request in held:
+                await echo(request)
+            await until(lambda: not rig.clients._open)
+            assert len(server.requests) == 4
+            sock.close()
+
+    run(test())
