--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -22,9 +22,12 @@
 SHARE_PRIOR = 20.0  # units; weight of "evenly spread" against metered evidence of our share
 OWN_LEAST = 1.0  # units of a burst that are ours; with fewer, own sends tell nothing of the store
 PRIOR_USE = 1.0  # of the rate; what a customer is taken to use before its meter was read
-PRIOR_UNITS = 0.3  # units that this guess weighs
+CARE_USE = 1.0  # more, of the rate, where all that goes on beyond the quota is lost
+PRIOR_UNITS = 0.2  # units that this guess weighs
+CARE_PULL = 4.0  # power of a metered excess, times the same; a limiter of many reads it seldom, so pulls more
 READING_KEEP = 0.5  # of the earlier readings' weight kept at a new one
 STORE_USE = 0.7  # of the rate; what the others are taken to draw together
+CARE_STORE = 0.3  # more, of the rate, where all that goes on beyond the quota is lost
 STORE_UNITS = 0.7  # units that this guess weighs
 FORGET_MS = 40000.0  # ms; a customer idle so long, its stores full, has nothing left to remember
 LIGHT_MS = 10000.0  # ms; nor has one idle so long of whom little more than one try was seen
@@ -102,29 +105,16 @@
     that the meter cannot tell yet and missing readings. It can hurt when our part is misjudged.
     """
 
+    # fmt: off
     __slots__ = (
-        "anchor",
-        "asked",
-        "asked_at",
-        "born",
-        "ceiling",
-        "doors",
-        "heard_at",
-        "log",
-        "mine",
-        "out",
-        "own",
-        "plan",
-        "read_at",
-        "seen",
-        "store",
-        "usage",
-        "used",
-        "whole",
+        "anchor", "asked", "asked_at", "born", "care", "ceiling", "doors", "heard_at", "log", "mine", "out",
+        "own", "plan", "read_at", "seen", "store", "usage", "used", "whole",
     )
+    # fmt: on
 
     def __init__(self, plan: api.Plan, doors: int, now: float, born: float = 0.0) -> None:
         self.plan = plan
+        self.care = min(1.0, max(0.0, plan.over_cost - plan.over_worth))  # excess costs so much of its worth
         self.doors = max(1, doors)
         self.store = TokenBucket(plan.rate, plan.burst, plan.burst, now)
         self.seen = self.used = 0.0  # weighted time metered, and units used in it
@@ -160,19 +150,23 @@
     def share(self, now: float) -> float:
         """The let-in share: the rate over the use that readings, own tries and a thin guess foretell.
 
-        All fade, so that what a rarely seen customer once did does not bind it (Gamma-Poisson).
+        All fade, so that what a rarely seen customer once did does not bind it (Gamma-Poisson). In a large
+        fleet most first requests are of those beyond their quota; so where excess costs, one unheard of is
+        taken to use more than its rate. It hurts quiet ones there: half of their first requests are refused.
         """
         if self.plan.rate <= 0:
             return min(1.0, 100.0 / (self.usage or 100.0))
         weight, rate = math.exp((self.read_at - now) / AGE_MS), self.plan.rate / 1000.0
         units = PRIOR_UNITS + self.used * weight + self.asked * math.exp((self.asked_at - now) / AGE_MS)
         watched = self.part() * AGE_MS * (1.0 - math.exp((self.born - now) / AGE_MS))
-        return min(1.0, rate * (PRIOR_UNITS / (PRIOR_USE * rate) + self.seen * weight + watched) / units)
+        prior = PRIOR_UNITS / ((PRIOR_USE + CARE_USE * self.care) * rate)
+        return min(1.0, rate * (prior + self.seen * weight + watched) / units)
 
     def unseen(self) -> tuple[float, float]:
         """What the others draw in a burst's time for each own unit, and units a ms besides (as share)."""
         part, rate = self.part(), max(1e-9, self.plan.rate / 1000.0)
-        weight = STORE_UNITS / (STORE_USE * rate) + part * self.plan.burst / rate
+        use = STORE_USE + CARE_STORE * self.care
+        weight = STORE_UNITS / (use * rate) + part * self.plan.burst / rate
         return (1.0 - part) * self.plan.burst / rate / weight, (1.0 - part) * STORE_UNITS / weight
 
     def draw(self, now: float, units: float) -> None:
@@ -227,7 +221,7 @@
         whole = usage / 100.0 * self.plan.rate * period / 1000.0
         keep = READING_KEEP * math.exp((last - now) / AGE_MS)
         self.seen = self.seen * keep + period
-        self.used = self.used * keep + whole / then
+        self.used = self.used * keep + whole * max(1.0, usage / 100.0) ** (CARE_PULL * self.care) / then
         if self.plan.rate > 0 and start >= clock.begun:
             # Of a period in which nobody could come to us, as we had not started, our part says nothing.
             clock.learn(now, self, whole)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -339,3 +339,49 @@
     customer = Customer(PLAN, 1, 0.0)
     customer.store.level = 0.0
     assert customer.bars(0.0, 1.0, 0.0, exact=True)
+
+
+def beyond(over_cost: float, seed: int) -> tuple[float, float]:
+    """100 gateways that share nothing: what goes on beyond quotas of all that does, and what is let in.
+
+    Each fifth customer asks for four times its quota, the others for a quarter; each comes through all doors,
+    so that a gateway meets most of them for the first time. The meter is a second late.
+    """
+    rng, doors = random.Random(seed), 100
+    plan = api.Plan(rate=4, burst=6, over_cost=over_cost)
+    clocks = [MeterClock(1000.0) for _ in range(doors)]
+    sent = excess = asked_inside = 0
+    for number in range(20):
+        demand = plan.rate * (4.0 if number % 5 == 0 else 0.25)
+        seen: dict[int, Customer] = {}
+        level, at, now, log = plan.burst, 0.0, 0.0, list[float]()
+        while (now := now + rng.expovariate(demand) * 1000.0) < 30_000.0:
+            door = rng.randrange(doors)
+            customer = seen.setdefault(door, Customer(plan, doors, now))
+            level, at = min(plan.burst, level + plan.rate * (now - at) / 1000.0), now
+            asked_inside += level >= 1.0
+            if customer.bars(now, 1.0, rng.random()):
+                continue
+            customer.draw(now, 1.0)
+            log.append(now)
+            sent += 1
+            excess += level < 1.0
+            level -= 1.0 if level >= 1.0 else 0.0
+            end = now // 1000.0 * 1000.0 - 1000.0
+            used = sum(1 for each in log if end - 1000.0 <= each < end)
+            customer.meter(now + 100.0, round(used / plan.rate * 100), clocks[door])
+    return excess / sent, sent / max(1, asked_inside)
+
+
+def test_many_gateways_send_less_beyond_quotas_where_that_costs() -> None:
+    """And no less where it costs nothing: only what settings price is spared."""
+    for seed in range(3):
+        free, careful = beyond(0.0, seed), beyond(1.0, seed)
+        assert careful[0] < 0.75 * free[0], (free, careful)
+        assert free == beyond(0.0, seed)
+
+
+def test_care_is_what_excess_costs_beside_what_it_earns() -> None:
+    for worth, cost, care in ((0.0, 0.5, 0.5), (0.3, 0.0, 0.0), (0.0, 2.0, 1.0), (0.2, 0.6, 0.4)):
+        plan = api.Plan(rate=1, burst=4, over_worth=worth, over_cost=cost)
+        assert Customer(plan, 3, 0.0).care == pytest.approx(care)
