A SIGHUP during the start no longer kills; a moved start asks its new agent from the beginning

Causes, from a reading of the start: - between a process's first line and its loop's handlers lie some tenths of a second of imports and tables; a SIGHUP in them ended the process, a SIGTERM ended it out of order. Signals are kept from the first line on (daemon/early.py) and taken up by serve(). Told in the log, and taken up again.

Ruled out (by reading asyncio's timeout): a move while connecting, where both time-outs expire together; the inner one hands the cancel on to the outer, which says moved.

Left: what comes before the interpreter is up, some 20 ms, still ends it.

--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from basaltpoint.config.address import ConfigError, inherited
+from basaltpoint.daemon import early
 from basaltpoint.daemon.succession import Succession, inherit
 from basaltpoint.fronts.control.console import Console
 from basaltpoint.fronts.platform import config as configuration
@@ -32,8 +33,11 @@
 async def _sweep(limiter: Limiter, clients: Clients) -> None:
     while True:
         await asyncio.sleep(SWEEP_S)
-        limiter.sweep()
-        clients.sweep()
+        try:
+            limiter.sweep()
+            clients.sweep()
+        except Exception:
+            log.exception("a sweep failed; the next one goes on")  # without any, what stands still stays
 
 
 def _reload(watch: Watch) -> None:
@@ -79,6 +83,10 @@
     watch = Watch(config.discovery, limiter.listed, Patience(rng))
     watch.seq = limiter.known_seq
     loop.add_signal_handler(signal.SIGHUP, _reload, watch)
+    if early.came(signal.SIGHUP):
+        _reload(watch)
+    if early.came(signal.SIGTERM, signal.SIGINT):
+        stop.set()
     tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
     succession = Succession(limiter, clients, path, found[0] if found else None) if path else None
     clients.listen()
--- a/basaltpoint/membership/discovery.py
+++ b/basaltpoint/membership/discovery.py
@@ -194,6 +194,8 @@
             self._address = address
             if self._turn:
                 self._turn.reschedule(asyncio.get_running_loop().time())
+            else:
+                self.seq = 0  # what is known has another agent's version
 
     async def run(self) -> None:
         """Watch for ever; each break is followed by a new watch from the last version read."""
@@ -215,6 +217,9 @@
             await self._follow()
         except (OSError, TimeoutError) as error:
             log.warning("discovery: %r", error)
+        except Exception:
+            # A fault of this program: without a watch every drain from here on would be overheard.
+            log.exception("discovery: the watch failed and is taken up again")
 
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_moments_ends.py
+++ b/tests/test_moments_ends.py
@@ -19,6 +19,7 @@
     SETTINGS,
     Answer,
     Client,
+    agent,
     backend,
     config,
     document,
@@ -35,6 +36,7 @@
 from basaltpoint.fronts.platform import clients
 from basaltpoint.fronts.platform.clients import kill_s
 
+ROOT = Path(__file__).parent.parent
 LONG = [{**service, "aimMs": 12_000.0, "hardLimitMs": 20_000.0} for service in SETTINGS["services"]]
 
 
@@ -124,7 +126,7 @@
         sys.executable,
         "-m",
         "basaltpoint",
-        cwd=Path(__file__).parent.parent,
+        cwd=ROOT,
         env={**os.environ, "GW_CONFIG": str(file)},
         stderr=(path / "log").open("wb"),
     )
@@ -296,3 +298,60 @@
             assert [request.headers["req-id"] for request in server.requests] == ["stays"]
 
     run(test())
+
+
+# --- Signals during a start -----------------------------------------------------------------------------
+EARLY = """
+import os, runpy, signal, sys
+from basaltpoint.daemon import early
+hold = early.hold
+early.hold = lambda: (hold(), os.kill(os.getpid(), signal.{name}))
+sys.argv = ["basaltpoint"]
+runpy.run_module("basaltpoint", run_name="__main__")
+"""
+
+
+@contextlib.asynccontextmanager
+async def starting(path: Path, name: str, **environ: str) -> Any:
+    """A limiter that is told something before it has read its configuration."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        EARLY.format(name=name),
+        cwd=ROOT,
+        env={**os.environ, "GW_CONFIG": str(path / "config.json"), **environ},
+        stderr=(path / "log").open("wb"),
+    )
+    try:
+        yield process
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+
+def test_a_new_configuration_told_during_the_start_is_taken_up(tmp_path: Path) -> None:
+    """The variable is as old as the start; what the file names since then stands above it."""
+
+    async def test() -> None:
+        async with agent() as old, agent() as new:
+            raw = document(unused_address(), host("a", "127.0.0.1:1"))
+            raw["discovery"] = "{}:{}".format(*new.address)
+            (tmp_path / "config.json").write_text(json.dumps(raw))
+            told = "{}:{}".format(*old.address)
+            async with starting(tmp_path, "SIGHUP", GW_DISCOVERY=told) as process:
+                assert await new.watches.get() == "/discovery/hosts?follow=1&since=0"
+                assert process.returncode is None and old.watches.empty()
+
+    run(test())
+
+
+def test_a_limiter_told_to_end_during_its_start_ends_in_order(tmp_path: Path) -> None:
+    async def test() -> None:
+        raw = document(unused_address(), host("a", "127.0.0.1:1"))
+        (tmp_path / "config.json").write_text(json.dumps(raw))
+        async with starting(tmp_path, "SIGTERM") as process:
+            assert await process.wait() == 0
+        assert "draining" in (tmp_path / "log").read_text()
+
+    run(test())
