A rig for the two terms: clients that left while they waited, quotas of a quiet fleet

benchmarks/moments.py: `left` on real processes, `quota` with the shipped module in virtual time beside a policy that sees the true store a second late; that policy's parts are tested on cases worked out by hand (tests/test_moments_rig.py), and the module never reaches it.

--- /dev/null
+++ b/tests/test_moments_rig.py
@@ -0,0 +1,42 @@
+"""The rig of the two terms: its late policy, on cases worked out by hand, and its runs' sense."""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+
+def rig() -> ModuleType:
+    file = Path(__file__).parent.parent / "benchmarks" / "moments.py"
+    spec = importlib.util.spec_from_file_location("moments", file)
+    assert spec and spec.loader
+    made = sys.modules["moments"] = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(made)
+    return made
+
+
+def test_a_store_by_hand() -> None:
+    """Two units at most, one a second: two pass at once, the third does not, one more a second later."""
+    store = rig().Store(1.0, 2.0)
+    assert [store.take(0.0) for _ in range(3)] == [True, True, False]
+    assert not store.take(900.0) and store.take(1000.0)
+
+
+def test_what_the_late_policy_sees_is_a_second_old() -> None:
+    store = rig().Store(1.0, 2.0)
+    assert store.take(5000.0) and store.take(5000.0)
+    assert store.seen(5500.0) == 2.0  # as it was at 4.5 s: full
+    assert store.seen(6000.0) == 0.0
+    assert store.seen(6700.0) == pytest.approx(0.7)  # as it was at 5.7 s
+
+
+def test_a_run_is_its_seeds() -> None:
+    """And the fleet's price is a part of the worth, not below nothing; one limiter alone sees all itself."""
+    made = rig()
+    first = made.quota(3, 3.0, 1)
+    assert first == made.quota(3, 3.0, 1) != made.quota(3, 3.0, 2)
+    assert all(0.0 <= each <= 1.5 for each in first)
