--- a/benchmarks/moments.py
+++ b/benchmarks/moments.py
@@ -5,8 +5,8 @@
 
 `left`: real limiters as processes over loopback, before one server that answers late, or with a fault.
 Clients leave at times spread over the wait, by closing, by reset or by half-closing, alone or with seven
-requests on a connection. Printed: how many requests were left, how many of them a server had got, and how many
-it got more than 0.3 s after their client had left. The term fails at a quarter; the aim is none.
+requests on a connection. Printed: how many requests were left, how many of them a server had got, how many
+it got over 0.3 s after their client had left. The term fails at a quarter; the aim is none.
 
 `quota`: the shipped decision module, one for each limiter, in virtual time, with uneven traffic and a meter
 that is late. Printed: what was sent on beyond the quotas, priced by the plans, as a part of the worth asked
