--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -22,12 +22,12 @@
 SHARE_PRIOR = 20.0  # units; weight of "evenly spread" against metered evidence of our share
 OWN_LEAST = 1.0  # units of a burst that are ours; with fewer, own sends tell nothing of the store
 PRIOR_USE = 1.0  # of the rate; what a customer is taken to use before its meter was read
-CARE_USE = 1.0  # more, of the rate, where all that goes on beyond the quota is lost
+CARE_USE = 0.6  # more, of the rate, where all that goes on beyond the quota is lost
 PRIOR_UNITS = 0.2  # units that this guess weighs
-CARE_PULL = 4.0  # power of a metered excess, times the same; a limiter of many reads it seldom, so pulls more
+CARE_PULL = 2.5  # power of a metered excess, times the same; a limiter of many reads it seldom, so pulls more
 READING_KEEP = 0.5  # of the earlier readings' weight kept at a new one
 STORE_USE = 0.7  # of the rate; what the others are taken to draw together
-CARE_STORE = 0.3  # more, of the rate, where all that goes on beyond the quota is lost
+CARE_STORE = 0.15  # more, of the rate, where all that goes on beyond the quota is lost
 STORE_UNITS = 0.7  # units that this guess weighs
 FORGET_MS = 40000.0  # ms; a customer idle so long, its stores full, has nothing left to remember
 LIGHT_MS = 10000.0  # ms; nor has one idle so long of whom little more than one try was seen
@@ -152,7 +152,7 @@
 
         All fade, so that what a rarely seen customer once did does not bind it (Gamma-Poisson). In a large
         fleet most first requests are of those beyond their quota; so where excess costs, one unheard of is
-        taken to use more than its rate. It hurts quiet ones there: half of their first requests are refused.
+        taken to use more than its rate. It hurts quiet ones there: over a third of their first requests are refused.
         """
         if self.plan.rate <= 0:
             return min(1.0, 100.0 / (self.usage or 100.0))
