--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -22,7 +22,7 @@
 SHARE_PRIOR = 20.0  # units; weight of "evenly spread" against metered evidence of our share
 OWN_LEAST = 1.0  # units of a burst that are ours; with fewer, own sends tell nothing of the store
 PRIOR_USE = 1.0  # of the rate; what a customer is taken to use before its meter was read
-CARE_USE = 0.6  # more, of the rate, where all that goes on beyond the quota is lost
+CARE_USE = 0.8  # more, of the rate, where all that goes on beyond the quota is lost
 PRIOR_UNITS = 0.2  # units that this guess weighs
 CARE_PULL = 2.5  # power of a metered excess, times the same; a limiter of many reads it seldom, so pulls more
 READING_KEEP = 0.5  # of the earlier readings' weight kept at a new one
@@ -152,7 +152,7 @@
 
         All fade, so that what a rarely seen customer once did does not bind it (Gamma-Poisson). In a large
         fleet most first requests are of those beyond their quota; so where excess costs, one unheard of is
-        taken to use more than its rate. It hurts quiet ones there: over a third of their first requests are refused.
+        taken to use more than its rate. It hurts quiet ones there: a third of their first requests is refused.
         """
         if self.plan.rate <= 0:
             return min(1.0, 100.0 / (self.usage or 100.0))
