--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -152,7 +152,7 @@
 
         All fade, so that what a rarely seen customer once did does not bind it (Gamma-Poisson). In a large
         fleet most first requests are of those beyond their quota; so where excess costs, one unheard of is
-        taken to use more than its rate. It hurts quiet ones there: a third of their first requests is refused.
+        taken to use more than its rate. It hurts quiet ones there: a third of first requests is refused.
         """
         if self.plan.rate <= 0:
             return min(1.0, 100.0 / (self.usage or 100.0))
