A list is decoded once, what came whole before a break counts; one heir for both upgrades

A list that stood on a line was decoded to see that it was whole and decoded again to be read; a list that came whole in one piece with a broken one behind it was lost with it; each of the two upgrades had a class that hears nothing but the newer one's end; the bound on when a request is answered at the end stood at each place that plans it.

Change: Objects gives decoded lists one by one; handover/link.py has the one Heir; Table._plan bounds each request's time; a client's connection says whether it is closable and its holder closes it.

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -176,7 +176,7 @@
         if name:
             self.names.add(name)
         self.open += 1
-        self._plan(min(now + wait_ms, self.latest_ms + GRACE_MS), ident, 0)
+        self._plan(now + wait_ms, ident, 0)
         self._events.append(api.Arrival(ident, cls, plan, customer, units, doors, deadline, pool))
         return ident, self._run(now)
 
@@ -251,7 +251,7 @@
         if (entry := self.entries.get(ident)) and entry.uploading:
             entry.uploading, entry.sent_ms = False, now
             entry.deadline_ms = min(now + entry.wait_ms, self.latest_ms)
-            self._plan(min(now + entry.wait_ms, self.latest_ms + GRACE_MS), ident, 0)
+            self._plan(now + entry.wait_ms, ident, 0)
 
     def hasten(self, now: float, latest_ms: float) -> list[Effect]:
         """From here on every request is answered by then, one whose body still comes too: the process ends.
@@ -263,7 +263,7 @@
         for ident, entry in self.entries.items():
             if entry.open and not entry.head_ms and (entry.uploading or entry.deadline_ms > latest_ms):
                 entry.uploading, entry.deadline_ms = False, latest_ms
-                self._plan(latest_ms + GRACE_MS, ident, 0)
+                self._plan(math.inf, ident, 0)
                 if entry.out is not None:
                     self._effects.append(Hurry(ident, latest_ms))
         return self._run(now)
@@ -301,6 +301,8 @@
         return self._run(now)
 
     def _plan(self, when: float, ident: int, token: int) -> None:
+        if ident:
+            when = min(when, self.latest_ms + GRACE_MS)
         heapq.heappush(self._timers, (when, ident, token))
         if len(self._timers) > COMPACT and len(self._timers) > 2 * self.open + COMPACT:
             self._timers = [t for t in self._timers if not t[1] or t[1] in self.entries]
--- a/basaltpoint/daemon/succession.py
+++ b/basaltpoint/daemon/succession.py
@@ -10,7 +10,7 @@
 from basaltpoint.fronts.platform.clients import Clients
 from basaltpoint.fronts.platform.limiter import Limiter
 from basaltpoint.handover import document, state
-from basaltpoint.handover.link import Door, Link
+from basaltpoint.handover.link import Door, Heir, Link
 
 log = logging.getLogger(__name__)
 
@@ -76,7 +76,7 @@
     def _knock(self, sock: socket.socket) -> None:
         if self._heir:
             self._heir.close()
-        self._heir = Link(sock, _Newer(self))
+        self._heir = Link(sock, Heir(self.heir_gone))
         self._clients.part = state.HALF
         self._heir.document(document.write(self._limiter.estate(halved=True)))
 
@@ -126,22 +126,3 @@
 
     def parted(self) -> None:
         self._succession.alone()
-
-
-class _Newer:
-    """What comes from the process after this one: nothing but its end."""
-
-    def __init__(self, succession: Succession) -> None:
-        self._succession = succession
-
-    def told(self, text: bytes) -> None:
-        pass
-
-    def adopt(self, sock: socket.socket) -> None:
-        sock.close()
-
-    def ended(self, name: bytes) -> None:
-        pass
-
-    def parted(self) -> None:
-        self._succession.heir_gone()
--- a/basaltpoint/daemon/upgrade.py
+++ b/basaltpoint/daemon/upgrade.py
@@ -16,7 +16,7 @@
 
 from basaltpoint.handover import bequest
 from basaltpoint.handover.bequest import Bequest, BequestError, Hello
-from basaltpoint.handover.link import Door, Link, claim
+from basaltpoint.handover.link import Door, Heir, Link, claim
 
 log = logging.getLogger("basaltpoint")
 
@@ -100,7 +100,7 @@
     def _knock(self, sock: socket.socket) -> None:
         if self._heir:
             self._heir.close()
-        self._heir = Link(sock, _Newer(self))
+        self._heir = Link(sock, Heir(self.heir_gone))
         self._heir.document(bequest.write(Hello(bequest.VERSION, self._name)))
         log.info("a newer process is there; it takes over when this one is told to end")
 
@@ -149,22 +149,3 @@
 
     def parted(self) -> None:
         self._upgrade.alone()
-
-
-class _Newer:
-    """What comes from the process after this one: nothing but its end."""
-
-    def __init__(self, upgrade: Upgrade) -> None:
-        self._upgrade = upgrade
-
-    def told(self, document: bytes) -> None:
-        pass
-
-    def adopt(self, sock: socket.socket) -> None:
-        sock.close()
-
-    def ended(self, name: bytes) -> None:
-        pass
-
-    def parted(self) -> None:
-        self._upgrade.heir_gone()
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -336,12 +336,10 @@
         if self._transport:
             self._transport.close()
 
-    def close_between(self) -> bool:
-        """Close between two requests; False where the next one lies in the socket: it has come in time."""
-        if not self.idle or self._unread() > 0:
-            return False
-        self.close()
-        return True
+    @property
+    def closable(self) -> bool:
+        """Whether it stands between two requests, and the next one does not lie in the socket already."""
+        return self.idle and self._unread() <= 0
 
     @property
     def left(self) -> bool:
@@ -793,11 +791,12 @@
     def _make_room(self) -> bool:
         """Close the connection that has been between requests for longest; new ones get their turn."""
         limit = monotonic() - FIRST_S
-        for client in [c for c in self.idle if c.served or c.made < limit]:
-            if client.close_between():
-                del self.idle[client]
-                return True
-        return self._end_slowest(limit)
+        client = next((c for c in self.idle if (c.served or c.made < limit) and c.closable), None)
+        if client is None:
+            return self._end_slowest(limit)
+        del self.idle[client]
+        client.close()
+        return True
 
     def _end_slowest(self, limit: float) -> bool:
         """End the request that has been coming in for longest: a crowd of them must not keep others out."""
@@ -830,10 +829,10 @@
         """
         limit = monotonic() - STALL_S
         for client in [c for c in self._open if c.stalled(limit)]:
-            if client.begun is None:
-                client.close_between()
-            else:
+            if client.begun is not None:
                 client.reject(408)
+            elif client.closable:
+                client.close()
         limit = monotonic() - STUCK_S
         for client in [c for c in self._open if c.stuck_since is not None and c.stuck_since < limit]:
             log.warning("a client has stopped reading its answer")
@@ -896,6 +895,6 @@
 
     def _close_idle(self, since: float) -> None:
         """Close what stands between two requests, and what has said nothing since then."""
-        for client in [c for c in self.idle if c.served or c.made < since]:
-            if client.close_between():
-                self.idle.pop(client, None)
+        for client in [c for c in self.idle if (c.served or c.made < since) and c.closable]:
+            self.idle.pop(client, None)
+            client.close()
--- a/basaltpoint/handover/link.py
+++ b/basaltpoint/handover/link.py
@@ -77,6 +77,25 @@
         """The other one has gone."""
 
 
+class Heir:
+    """What comes from the process after this one: nothing but its end."""
+
+    def __init__(self, gone: Callable[[], None]) -> None:
+        self._gone = gone
+
+    def told(self, document: bytes) -> None:
+        pass
+
+    def adopt(self, sock: socket.socket) -> None:
+        sock.close()
+
+    def ended(self, name: bytes) -> None:
+        pass
+
+    def parted(self) -> None:
+        self._gone()
+
+
 class Link:
     """One end of the connection between two processes."""
 
--- a/basaltpoint/membership/discovery.py
+++ b/basaltpoint/membership/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import math
 from collections.abc import Callable
@@ -14,7 +13,7 @@
 
 from basaltpoint import interface as api
 from basaltpoint.config.address import Address, ConfigError, parse_address
-from basaltpoint.membership.objects import Objects
+from basaltpoint.membership.objects import BrokenError, Objects
 from basaltpoint.membership.patience import Patience
 
 log = logging.getLogger(__name__)
@@ -109,7 +108,7 @@
 class _Stream(asyncio.Protocol):
     """One watch: cuts the chunked answer into objects."""
 
-    def __init__(self, on_object: Callable[[bytes], bool], on_word: Callable[[], None]) -> None:
+    def __init__(self, on_object: Callable[[Any], bool], on_word: Callable[[], None]) -> None:
         """`on_object`: takes a list, False where it can't be used; `on_word`: hears that nothing is new."""
         self._on_object = on_object
         self._on_word = on_word
@@ -129,26 +128,26 @@
         try:
             self._parser.feed_data(data)
             body, self._body = self._body, b""
-            objects = self._objects.feed(body)
-        except (httptools.HttpParserError, ValueError) as error:
+            if body.isspace():
+                self._on_word()
+            for told in self._objects.feed(body):
+                self._whole()
+                if not self._on_object(told):
+                    self.close()
+                    return
+        except (httptools.HttpParserError, BrokenError) as error:
             log.warning("discovery: the watch can't be read: %r", error)
             self.close()
             return
-        if body.isspace():
-            self._on_word()
-        for told in objects:
-            if not self._on_object(told):
-                self.close()
-                return
-        self._await_rest(self._objects.unfinished, bool(objects))
-
-    def _await_rest(self, unfinished: bool, another: bool) -> None:
-        """A list that stops half way is asked for anew; empty lines behind it must not keep it waiting."""
-        if self._short and (another or not unfinished):
+        # A list that stops half way is asked for anew; empty lines behind it must not keep it waiting.
+        if self._objects.unfinished and not self._short:
+            self._short = asyncio.get_running_loop().call_later(WHOLE_S, self._stopped_short)
+
+    def _whole(self) -> None:
+        """Nothing is awaited of the list that was coming."""
+        if self._short:
             self._short.cancel()
             self._short = None
-        if unfinished and not self._short:
-            self._short = asyncio.get_running_loop().call_later(WHOLE_S, self._stopped_short)
 
     def _stopped_short(self) -> None:
         log.warning("discovery: a list stopped half way")
@@ -167,13 +166,12 @@
         self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self._short:
-            self._short.cancel()
+        self._whole()
         if not self.ended.done():
             self.ended.set_result(None)
 
     def close(self) -> None:
-        if self._transport and not self._transport.is_closing():
+        if self._transport:
             self._transport.close()
 
 
@@ -238,11 +236,11 @@
         finally:
             transport.abort()
 
-    def _told(self, raw: bytes) -> bool:
+    def _told(self, raw: Any) -> bool:
         """Take one list; False where it must be asked for again."""
         try:
-            told, sound = parse_list(json.loads(raw))
-        except (ValueError, RecursionError) as error:
+            told, sound = parse_list(raw)
+        except ValueError as error:
             log.warning("discovery: a list can't be read: %r", error)
             return False
         self._patience.served()
--- a/basaltpoint/membership/objects.py
+++ b/basaltpoint/membership/objects.py
@@ -4,6 +4,8 @@
 
 import json
 import re
+from collections.abc import Iterator
+from typing import Any
 
 OUTSIDE = re.compile(rb'["{}]')  # what counts within an object,
 INSIDE = re.compile(rb'["\\]')  # and within a string of it
@@ -11,6 +13,10 @@
 LONGEST = 4 << 20  # bytes; an object that never ends must not fill the memory
 
 
+class BrokenError(ValueError):
+    """What is wrong with the stream: nothing behind this place can be found."""
+
+
 class Objects:
     """Cuts one object after the other out of what comes; linear in its length, bounded in size.
 
@@ -31,44 +37,45 @@
         """Whether part of an object has come."""
         return bool(self._buffer)
 
-    def feed(self, data: bytes) -> list[bytes]:
-        """The objects that these bytes complete.
+    def feed(self, data: bytes) -> Iterator[dict[str, Any]]:
+        """The objects that these bytes complete, each as soon as it is found.
 
-        ValueError for what is no object, for one that is too long, and for one that breaks off before another
+        BrokenError for what is no object, for one too long, and for one that breaks off before another
         list: the rest of it does not come any more.
         """
         self._buffer += data
-        found = []
-        while self._buffer and (end := self._end()):
-            found.append(bytes(self._buffer[:end]))
-            self._cut(end)
+        while (told := self._next()) is not None:
+            yield told
         if len(self._buffer) > LONGEST:
-            raise ValueError(f"an object of over {LONGEST} bytes")
-        return found
+            raise BrokenError(f"an object of over {LONGEST} bytes")
 
     def _cut(self, size: int) -> None:
         del self._buffer[:size]
         self._at = self._line = self._sought = self._depth = 0
 
-    def _end(self) -> int:
-        """How many bytes the first object takes; 0 as long as it is not whole."""
+    def _next(self) -> dict[str, Any] | None:
+        """Take the first object out; None as long as it is not whole."""
         buffer = self._buffer
         if not self._at:
             first = NEXT.search(buffer)
             self._cut(first.start() if first else len(buffer))
             if not buffer:
-                return 0
+                return None
             if buffer[0] != ord("{"):
-                raise ValueError(f"not an object: {bytes(buffer[:40])!r}")
+                raise BrokenError(f"not an object: {bytes(buffer[:40])!r}")
             end = buffer.find(b"\n")
-            if end > 0 and _whole(buffer[:end]) is not None:
-                return end
-        whole = self._scan()
-        if not whole:
+            if end > 0 and (told := _on_a_line(buffer[:end])) is not None:
+                self._cut(end)
+                return told
+        if not (end := self._scan()):
             self._look_at_lines()
-        return whole
+            return None
+        told = _decoded(buffer[:end])
+        self._cut(end)
+        return told
 
     def _scan(self) -> int:
+        """Where the first object ends; 0 as long as it is not whole."""
         buffer = self._buffer
         while found := (INSIDE if self._within else OUTSIDE).search(buffer, self._at):
             at, what = found.start(), found[0]
@@ -91,19 +98,27 @@
     def _look_at_lines(self) -> None:
         """A whole list on a line of its own, within an object: what was open there has broken off."""
         while (end := self._buffer.find(b"\n", max(self._line, self._sought))) >= 0:
-            told = _whole(self._buffer[self._line : end]) if self._line else None
+            told = _on_a_line(self._buffer[self._line : end]) if self._line else None
             if told is not None and "hosts" in told:
-                raise ValueError("an object breaks off before another")
+                raise BrokenError("an object breaks off before another")
             self._line = self._sought = end + 1
         self._sought = len(self._buffer)
 
 
-def _whole(line: bytearray) -> dict[str, object] | None:
+def _on_a_line(line: bytearray) -> dict[str, Any] | None:
     """The object that fills a line; None where none does."""
     if not line.startswith(b"{") or not line.rstrip().endswith(b"}"):
         return None
     try:
-        told = json.loads(line)
-    except (ValueError, RecursionError):
+        return _decoded(line)
+    except BrokenError:
         return None
-    return told if isinstance(told, dict) else None
+
+
+def _decoded(raw: bytearray) -> dict[str, Any]:
+    """What stands between two braces that close; BrokenError where it can't be read."""
+    try:
+        told: dict[str, Any] = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise BrokenError(str(error)) from None
+    return told
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -23,6 +23,7 @@
 
 from basaltpoint.membership import discovery
 from basaltpoint.membership.discovery import HostList, Watch, parse_list
+from basaltpoint.membership.objects import BrokenError, Objects
 from basaltpoint.membership.patience import Patience
 
 
@@ -127,7 +128,11 @@
 
     def line(self, line: object) -> bool:
         raw = line if isinstance(line, bytes) else json.dumps(line).encode()
-        return self.watch._told(raw)
+        try:
+            [told] = Objects().feed(raw)
+        except BrokenError:
+            return False
+        return self.watch._told(told)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_moments_lists.py
+++ b/tests/test_moments_lists.py
@@ -12,7 +12,7 @@
 from sockets import Agent, agent, host, limiter, listing, run, until
 
 from basaltpoint.membership import discovery
-from basaltpoint.membership.objects import LONGEST, Objects
+from basaltpoint.membership.objects import LONGEST, BrokenError, Objects
 from basaltpoint.membership.patience import Patience
 
 TOLD = listing(7, host('a"}{\\', "127.0.0.1:1"), host("b\n{", "127.0.0.1:2", "leaving"))
@@ -30,20 +30,20 @@
 @pytest.mark.parametrize("form", FORMS)
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 64, 1 << 20])
 def test_an_object_is_found_however_it_is_cut(form: str, size: int) -> None:
-    raw, objects, found = FORMS[form], Objects(), list[bytes]()
+    raw, objects, found = FORMS[form], Objects(), list[Any]()
     for start in range(0, len(raw), size):
         found += objects.feed(raw[start : start + size])
-    assert [json.loads(each) for each in found] == [TOLD] * (2 if "two" in form else 1)
-    objects.feed(b"\r\n \n")
+    assert found == [TOLD] * (2 if "two" in form else 1)
+    assert list(objects.feed(b"\r\n \n")) == []
     assert not objects.unfinished
 
 
 def test_any_cut_into_pieces() -> None:
     """The same objects at random cuts; seeds tell a failure."""
     raw = b"\n".join(FORMS.values())
-    whole = Objects().feed(raw)
+    whole = list(Objects().feed(raw))
     for seed in range(200):
-        rng, objects, found, at = random.Random(seed), Objects(), list[bytes](), 0
+        rng, objects, found, at = random.Random(seed), Objects(), list[Any](), 0
         while at < len(raw):
             size = rng.randrange(1, 400)
             found += objects.feed(raw[at : at + size])
@@ -54,28 +54,32 @@
 @pytest.mark.parametrize("junk", [b"nonsense\n", b"[1]\n", b"}\n", b'"text"\n', b"\xff\n", b"{}]"])
 def test_what_is_no_object_is_refused_where_it_stands(junk: bytes) -> None:
     with pytest.raises(ValueError, match="not an object"):
-        Objects().feed(b"\n" + junk)
+        list(Objects().feed(b"\n" + junk))
 
 
 def test_an_object_without_end_is_refused() -> None:
     objects = Objects()
     with pytest.raises(ValueError, match="over"):
         for _ in range(LONGEST // 65536 + 2):
-            objects.feed(b'{"a":"' + b"x" * 65530)
+            list(objects.feed(b'{"a":"' + b"x" * 65530))
 
 
 def test_a_list_that_breaks_off_before_another_is_told() -> None:
-    """Wherever it was cut: refused here, or what is found can't be read; never is the next one swallowed."""
+    """Wherever it was cut: never is the next one swallowed, nor taken for the rest of it."""
     for form in ("indented", "one line"):
         for size in range(1, len(FORMS[form]) - 3):
             objects = Objects()
-            try:
-                objects.feed(FORMS[form][:size])
-                found = objects.feed(b"\n" + FORMS["one line"])
-            except ValueError:
-                continue
-            with pytest.raises(ValueError):
-                json.loads(found[0])
+            with pytest.raises(BrokenError):
+                list(objects.feed(FORMS[form][:size]))
+                list(objects.feed(b"\n" + FORMS["one line"]))
+
+
+def test_what_came_whole_before_the_break_counts() -> None:
+    """In one piece with it, too."""
+    found = Objects().feed(FORMS["indented"] + b"nonsense\n")
+    assert next(found) == TOLD
+    with pytest.raises(BrokenError, match="not an object"):
+        next(found)
 
 
 def test_the_time_taken_is_linear_in_the_length() -> None:
@@ -85,7 +89,7 @@
     seen = 0
     for start in range(0, len(raw), 100):
         at = objects._at
-        objects.feed(raw[start : start + 100])
+        list(objects.feed(raw[start : start + 100]))
         seen += max(0, objects._at - at)
     assert seen <= len(raw)
 
