The last answer of a connection reaches a slow reader whole, whatever is sent behind it

Cause, from a reading of clients.py, _Client._end, and shown by two tests over real connections: - behind an answer with bytes still unread the connection was cut LINGER_S (1 s) later, though part of the answer still waited in this process: a reader that takes longer got a torn one; - with nothing unread it was closed at once; what its client sent while the answer was still on its way lay unread at the close, the system reset the connection and dropped what it still held. Both lose a request that was taken.

Change: a connection ends its sending and reads past what comes wherever either may be, also where reading was paused; the time to cut the sender off begins once all has gone out.

Ruled out: lingering behind every last answer: where all has gone out and nothing is unread there is nothing to lose in this process, and a crowd's connections would stay a second longer.

--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -262,6 +262,7 @@
         self._reading = False  # bytes are being parsed
         self._rejected = False  # its sender may still be at it
         self._deaf = False  # no further request is read from it
+        self._ending = False  # its last answer is on its way: what comes is read past
         self._paused = False
         self._stuck = False  # it does not read its answers
         self.stuck_since: float | None = None
@@ -319,6 +320,7 @@
         if self._turn and self._turn.passage:
             self._turn.passage.reading(not self._stuck)
         full = self._stuck or self._held_up or len(self._calls) >= PIPELINED
+        full = full and not self._ending
         if self._transport and full != self._paused and not self._transport.is_closing():
             self._paused = full
             if full:
@@ -670,22 +672,28 @@
         return [b"HTTP/1.1 200 OK\r\n", framing, headers, ends, *pieces]
 
     def _end(self) -> None:
-        """Close behind the last answer. Cut off at once, a sender still at it could lose that answer."""
+        """Close behind the last answer, and lose none of it to what its sender is still at.
+
+        Closing over bytes that were not read, or that come while the answer is still on its way, resets the
+        connection, and what the client has not got of the answer goes with it. So where either may be, the
+        sending ends first, and what comes is read past for a while.
+        """
         self._deaf = True
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
             return
-        if self._transport.is_closing():
-            return
-        # Closing over bytes that were not read resets the connection, and the answer with it.
-        if not self._rejected and self._unread() <= 0:
+        if not self._rejected and not self._transport.get_write_buffer_size() and self._unread() <= 0:
             self._transport.close()
-        else:
-            self.begun = None
-            if self._paused:
-                self._paused = False
-                self._transport.resume_reading()
-            self._transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+            return
+        self.begun, self._ending = None, True
+        self._pace()
+        self._transport.write_eof()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Cut the sender off once the answer has gone out and it had its time; the sweep ends a stuck one."""
+        if self._transport and not self._transport.is_closing():
+            unsent = self._transport.get_write_buffer_size() > 0
+            asyncio.get_running_loop().call_later(LINGER_S, self._linger if unsent else self._transport.abort)
 
 
 class Clients:
--- a/tests/test_moments_ends.py
+++ b/tests/test_moments_ends.py
@@ -215,6 +215,50 @@
     run(test())
 
 
+@pytest.mark.parametrize("behind", ["read before the answer", "sent while it is on its way"])
+def test_a_slow_reader_gets_its_last_answer_whole_whatever_it_sends_behind(
+    monkeypatch: pytest.MonkeyPatch, behind: str
+) -> None:
+    """More of the answer waits here than the system holds when the connection is to end."""
+    monkeypatch.setattr(clients, "LINGER_S", 0.01)
+    body = bytes(range(256)) * 240
+
+    async def test() -> None:
+        async with backend() as server, limiter(host("a", server.address)) as rig:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(rig.clients.address)
+            early = behind == "read before the answer"
+            sock.sendall(message(ident="one", Connection=None if early else "close"))
+            first = await server.arrived.get()
+            [kept] = rig.clients._open
+            kept._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            if early:
+                sock.sendall(b"no request\r\n\r\n")
+                await until(lambda: kept._rejected)
+            first.reply(body=body)
+            await until(lambda: not kept._calls)
+            assert kept._transport
+            assert kept._transport.get_write_buffer_size() > 0
+            if not early:
+                sock.sendall(message(ident="two"))
+            await asyncio.sleep(0.1)  # whoever cuts the sender off after a time has done so by now
+            sock.setblocking(False)
+            got, loop = b"", asyncio.get_running_loop()
+            with contextlib.suppress(ConnectionResetError):  # with what lies behind the answer
+                # The last of it is left in the system's hands until the connection is gone here.
+                while kept._transport.get_write_buffer_size() and (piece := await loop.sock_recv(sock, 512)):
+                    got += piece
+                await until(lambda: not rig.clients._open)
+                while piece := await loop.sock_recv(sock, 65536):
+                    got += piece
+            assert body in got
+            assert len(server.requests) == 1
+            sock.close()
+
+    run(test())
+
+
 def test_the_backlog_is_taken_whole_before_nobody_listens_any_more(monkeypatch: pytest.MonkeyPatch) -> None:
     """More connections than are accepted at a time, each with a whole request, when the listener closes."""
     monkeypatch.setattr(clients, "ACCEPTS", 2)
