A keyed repeat goes out only while the servers still drop it: not over a connection that comes late

Cause: the module asked whether a keyed request may still be repeated when it decided (gateway.py, _may_repeat), and the attempt was written whenever its connection was up, up to the connect time-out later (servers.py, _connect). A repeat that arrives after the window runs the effect a second time.

Change: a Send tells by when its last byte has to have gone (whole_ms: the first attempt that may have run, and the window); table and both fronts pass it on, and an attempt that has not gone out by then ends as one that could not connect, so never ran. Its connection is kept for others.

Ruled out: asking for window less connect time-out when deciding (it gives up repeats over kept connections, which go out at once); a bound on connecting alone (a long body may be written late).

Found by reading.

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -57,12 +57,16 @@
 
 
 class Dispatch(NamedTuple):
-    """Begin an attempt, to be given up at `until_ms`; its end is owed to `Table.ended`."""
+    """Begin an attempt, to be given up at `until_ms`; its end is owed to `Table.ended`.
+
+    At `whole_ms` it is given up, too, unless its last byte has gone by then.
+    """
 
     request: int
     attempt: int
     server: int
     until_ms: float
+    whole_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -358,7 +362,7 @@
             return
         entry.attempts += 1
         entry.out, entry.server, entry.sent_ms = number, action.server, now
-        self._effects.append(Dispatch(ident, number, action.server, until))
+        self._effects.append(Dispatch(ident, number, action.server, until, action.whole_ms))
 
     def _moot(self, outcome: api.Outcome) -> None:
         """Tell of a send that can't be made; a module that answers each with another must not hang all."""
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -245,7 +245,12 @@
         head_only = passage.request.method == b"HEAD"
         ident = effect.request
         attempt = StreamAttempt(
-            passage.message(), until, partial(self._ended, ident, passage), passage, head_only
+            passage.message(),
+            until,
+            partial(self._ended, ident, passage),
+            passage,
+            head_only,
+            whole_by=self.loop_time(effect.whole_ms),
         )
         # Before it begins: over a kept connection all of a streamed body may go at once.
         passage.attempt = self._attempts[ident] = attempt
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -264,6 +264,7 @@
             partial(self._ended, passage, effect.attempt),
             partial(self._sent, passage.cls),
             passage,
+            self.loop_time(effect.whole_ms),
         )
         # Before it begins: over a kept connection all of a body may go at once.
         passage.attempt, passage.number = attempt, effect.attempt
--- a/basaltpoint/interface.py
+++ b/basaltpoint/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -302,9 +303,12 @@
 
 
 class Send(NamedTuple):
+    """Begin an attempt: given up at `until_ms`, and at `whole_ms` unless its last byte has gone by then."""
+
     request: int
     server: int
     until_ms: float
+    whole_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -255,6 +255,11 @@
             return False
         return all(self._same_group(request.cls.scope, attempt.server, peer) for attempt in ran)
 
+    def _remembered(self, request: Request) -> float:
+        """Until when a keyed repeat may go out; over a connection that comes up later it would run twice."""
+        ran = [a.sent for a in request.attempts[:-1] if a.may_have_run]
+        return ran[0] + request.cls.window_ms if ran and request.cls.effect is Effect.KEYED else INF
+
     def _same_group(self, scope: Scope, server: api.Server, peer: Peer) -> bool:
         if scope is Scope.ALL:
             return True
@@ -291,7 +296,7 @@
         if request.cls.effect is not Effect.UNSAFE and attempt.number + 1 < self.settings.max_attempts:
             until = now + part * (until - now)
         pool.out[event.request, attempt.number] = now, request.lane, until
-        self.actions.append(api.Send(event.request, peer.entry.id, until))
+        self.actions.append(api.Send(event.request, peer.entry.id, until, self._remembered(request)))
         return True
 
     def _answer(self, now: float, request: Request) -> None:
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -44,7 +45,7 @@
 class Attempt:
     """One message to one server; `on_end` hears of its end, once."""
 
-    __slots__ = ("_on_end", "_timer", "connection", "ended", "message", "on_written", "until")
+    __slots__ = ("_on_end", "_timer", "connection", "ended", "message", "on_written", "until", "whole_by")
 
     def __init__(
         self,
@@ -52,15 +53,21 @@
         until: float,
         on_end: Callable[[Answer], None],
         on_written: Callable[[], None] | None = None,
+        whole_by: float = math.inf,
     ) -> None:
-        """`on_written` hears when the message's last byte has been handed to the system."""
+        """`on_written` hears when the message's last byte has been handed to the system.
+
+        `whole_by`: when it must have been, of the loop's time: who would get it later may have forgotten
+        what it repeats.
+        """
         self.message = message
         self.until = until
+        self.whole_by = whole_by
         self.connection: Connection | None = None
         self.ended = False
         self._on_end = on_end
         self.on_written = on_written
-        self._timer = asyncio.get_running_loop().call_at(until + TIMER_S, self._time_out)
+        self._timer = asyncio.get_running_loop().call_at(min(until, whole_by) + TIMER_S, self._time_out)
 
     def end(self, reply: Answer) -> None:
         if not self.ended:
@@ -74,7 +81,8 @@
         self._timer.cancel()
         if not self.ended:
             self.until = until
-            self._timer = asyncio.get_running_loop().call_at(until + TIMER_S, self._time_out)
+            when = until if self.written else min(until, self.whole_by)
+            self._timer = asyncio.get_running_loop().call_at(when + TIMER_S, self._time_out)
 
     @property
     def written(self) -> bool:
@@ -85,7 +93,10 @@
         self._give_up(Status.CANCELLED)
 
     def _time_out(self) -> None:
-        self._give_up(Status.TIMEOUT if self.written else Status.CONNECT_FAILED)
+        if self.written and self.whole_by < self.until > asyncio.get_running_loop().time():
+            self.rearm(self.until)  # it went out in time
+        else:
+            self._give_up(Status.TIMEOUT if self.written else Status.CONNECT_FAILED)
 
     def _give_up(self, status: Status) -> None:
         if self.connection:
@@ -220,10 +231,9 @@
             return
         self._open += 1
         server.open += 1
-        dial, sock, connection = server.dial, None, None
+        dial, sock, connection, loop = server.dial, None, None, asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_s):
-                loop = asyncio.get_running_loop()
                 sock = socket.socket(socket.AF_INET6 if ":" in dial[0] else socket.AF_INET)
                 sock.setblocking(False)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -246,6 +256,9 @@
             attempt.end(Answer(Status.CONNECT_FAILED))
         elif attempt.ended:
             self.keep(server, connection)
+        elif attempt.whole_by < loop.time():  # its timer has not had its turn yet
+            self.keep(server, connection)
+            attempt.end(Answer(Status.CONNECT_FAILED))
         else:
             connection.start(attempt)
 
--- a/basaltpoint/upstream/streams.py
+++ b/basaltpoint/upstream/streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 from collections.abc import Callable
 from time import monotonic
@@ -57,8 +58,9 @@
         receiver: Receiver,
         head_only: bool,
         on_written: Callable[[], None] | None = None,
+        whole_by: float = math.inf,
     ) -> None:
-        super().__init__(message, until, on_end, on_written)
+        super().__init__(message, until, on_end, on_written, whole_by)
         self.receiver = receiver
         self.head_only = head_only
 
--- a/basaltpoint/upstream/whole.py
+++ b/basaltpoint/upstream/whole.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import re
 import socket
 from collections.abc import Callable
@@ -72,8 +73,9 @@
         on_end: Callable[[Answer], None],
         on_written: Callable[[], None] | None = None,
         onward: Onward | None = None,
+        whole_by: float = math.inf,
     ) -> None:
-        super().__init__(message, until, on_end, self, False, on_written)
+        super().__init__(message, until, on_end, self, False, on_written, whole_by)
         self._onward = onward
         self._fields: dict[bytes, bytes] = {}
         self._code = 0
--- a/tests/test_moments_servers.py
+++ b/tests/test_moments_servers.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from sockets import Request, backend, echo, host, limiter, message, run, until
+from sockets import SETTINGS, Request, backend, echo, host, limiter, message, run, until
 
 from basaltpoint.core.table import Dispatch
 from basaltpoint.fronts.platform.config import REST_S
@@ -124,6 +124,75 @@
     assert Dispatch.__name__ == "Dispatch"
 
 
+WINDOW_MS = 1000.0
+KEYED = [{**row, "windowMs": WINDOW_MS} for row in SETTINGS["services"]]
+
+
+@pytest.mark.parametrize("cls", ["upload", "read"])
+def test_a_repeat_goes_out_only_while_servers_remember_what_it_repeats(cls: str) -> None:
+    """It was decided in time, and its connection comes up when the first one has been forgotten."""
+
+    async def test() -> None:
+        gate, held = asyncio.Event(), asyncio.Event()
+        async with (
+            backend() as server,
+            limiter(host("a", server.address), settings={"services": KEYED}, connect_s=20.0) as rig,
+        ):
+            loop = asyncio.get_running_loop()
+            connect = loop.sock_connect
+
+            async def late(sock: socket.socket, dial: Any) -> None:
+                held.set()
+                await gate.wait()
+                await connect(sock, dial)
+
+            client = await rig.connect()
+            client.send(message(cls, "one"))
+            first = await server.arrived.get()
+            loop.sock_connect = late  # type: ignore[method-assign]
+            first.reset()
+            await held.wait()
+            await asyncio.sleep(WINDOW_MS / 1000 + 0.02)
+            gate.set()
+            if cls == "read":  # it may run as often as it likes
+                await echo(await server.arrived.get())
+                assert (await client.answer()).body == b"one"
+            else:
+                assert (await client.answer()).code == 429
+                await until(lambda: not rig.limiter._servers._connecting)
+                client.send(message(cls, "two"))
+                assert (await server.arrived.get()).headers["req-id"] == "two"
+            assert [r.headers["req-id"] for r in server.requests].count("one") == (2 if cls == "read" else 1)
+
+    run(test())
+
+
+@pytest.mark.parametrize("written", [True, False])
+def test_only_what_has_not_gone_out_ends_where_its_time_to_go_out_does(written: bool) -> None:
+    """A server that was asked in time may answer up to the attempt's own limit."""
+
+    async def test() -> None:
+        async with backend() as server:
+            servers, loop = Servers(10, 20.0, 60.0, connection), asyncio.get_running_loop()
+            if not written:
+                loop.sock_connect = lambda *_: asyncio.Event().wait()  # type: ignore
+            name, port = server.address.split(":")
+            servers.place(1, (name, int(port)), True)
+            ended: asyncio.Future[Answer] = loop.create_future()
+            by = loop.time() + (2.0 if written else 0.05)
+            attempt = WholeAttempt(ASK, loop.time() + 20, ended.set_result, whole_by=by)
+            servers.begin(1, attempt)
+            if written:
+                request = await server.arrived.get()
+                attempt.whole_by = loop.time()
+                attempt._time_out()  # as its timer would
+                request.reply(body=b"x")
+            assert (await ended).status is (Status.OK if written else Status.CONNECT_FAILED)
+            servers.close()
+
+    run(test())
+
+
 @pytest.mark.parametrize("how", ["close", "half-close", "reset"])
 def test_no_further_attempt_for_a_client_that_left_while_nothing_was_read_from_it(how: str) -> None:
     """Four requests stand on its connection, more lie in the socket, and its end lies behind them."""
