A watch that has fallen silent is listened to until the next one speaks; a lost call costs 0.3 s

Need: what the agent has counts as told, whether or not a watch is open, and what it gets at discovery's return counts at once.

Causes, from a reading of discovery.py (Watch._follow) and patience.py: - after 4.5 s of silence the watch was cut, and nothing was heard for the wait and the connecting that followed: 0.02 to 0.3 s, 0.2 to 1.5 s after further silent calls. Where discovery comes back just then, the first list is overheard for so long; the bound on drains is 0.25 s.

Change: the silent watch is held, one at most, until another answers with 200; versions that begin anew are told per watch; a call has 0.3 s to come up and to say its first word, doubled with each that fails; the first wait follows drainGraceMs.

Ruled out: shorter waits where calls are refused (no storm where nobody answers: its test stands); dropping the held watch at any answer (a 503 says nothing of the older call).

--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -80,7 +80,7 @@
     most = int((config.sockets - MARGIN) * (1 - SERVER_PART))
     clients = Clients(limiter, config.settings, config.listen, most, config.body_bytes, held)
     rng = random.Random(config.seed ^ SEED)
-    watch = Watch(config.discovery, limiter.listed, Patience(rng))
+    watch = Watch(config.discovery, limiter.listed, Patience(rng, config.settings.drain_grace_ms / 1000))
     watch.seq = limiter.known_seq
     loop.add_signal_handler(signal.SIGHUP, _reload, watch)
     if early.came(signal.SIGHUP):
--- a/basaltpoint/membership/discovery.py
+++ b/basaltpoint/membership/discovery.py
@@ -108,31 +108,39 @@
 class _Stream(asyncio.Protocol):
     """One watch: cuts the chunked answer into objects."""
 
-    def __init__(self, on_object: Callable[[Any], bool], on_word: Callable[[], None]) -> None:
-        """`on_object`: takes a list, False where it can't be used; `on_word`: hears that nothing is new."""
+    def __init__(
+        self, on_object: Callable[[_Stream, Any], bool], on_word: Callable[[_Stream, bool], None]
+    ) -> None:
+        """`on_object`: takes a list, False where it can't be used.
+
+        `on_word`: hears of all that comes, and whether it says that nothing is new.
+        """
         self._on_object = on_object
         self._on_word = on_word
         self._parser = httptools.HttpResponseParser(self)
         self._objects = Objects()
         self._body = b""
+        self._good = False  # the answer is one to a watch
         self._transport: asyncio.Transport | None = None
         self._short: asyncio.TimerHandle | None = None  # runs while a list has come in part
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.heard = asyncio.get_running_loop().time()
+        self.spoke = False  # bytes of an answer have come
+        self.fresh = True  # none of its lists has counted
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's own is no subclass of it
 
     def data_received(self, data: bytes) -> None:
-        self.heard = asyncio.get_running_loop().time()
+        self.heard, self.spoke = asyncio.get_running_loop().time(), True
         try:
             self._parser.feed_data(data)
             body, self._body = self._body, b""
-            if body.isspace():
-                self._on_word()
+            if self._good:
+                self._on_word(self, body.isspace())
             for told in self._objects.feed(body):
                 self._whole()
-                if not self._on_object(told):
+                if not self._on_object(self, told):
                     self.close()
                     return
         except (httptools.HttpParserError, BrokenError) as error:
@@ -154,12 +162,13 @@
         self.close()
 
     def on_headers_complete(self) -> None:
-        if (status := self._parser.get_status_code()) != 200:
+        self._good = (status := self._parser.get_status_code()) == 200
+        if not self._good:
             log.warning("discovery: answered %d", status)
             self.close()
 
     def on_body(self, body: bytes) -> None:
-        if self._parser.get_status_code() == 200:
+        if self._good:
             self._body += body
 
     def on_message_complete(self) -> None:
@@ -174,41 +183,53 @@
         if self._transport:
             self._transport.close()
 
+    def abort(self) -> None:
+        if self._transport:
+            self._transport.abort()
+
 
 class Watch:
-    """Keeps one watch open and hands on each list that says something new."""
+    """Keeps one watch open and hands on each list that says something new.
+
+    One that has fallen silent is listened to until another one speaks: nobody can tell from here whether
+    its connection is gone or the agent has nothing to say, and between two watches nothing would be heard.
+    """
 
     def __init__(self, address: Address, on_list: Callable[[HostList], None], patience: Patience) -> None:
         self._address = address
         self._patience = patience
         self._on_list = on_list
-        self._fresh = True
         self._turn: asyncio.Timeout | None = None
+        self._held: _Stream | None = None  # has fallen silent, and may speak yet
         self.seq = 0
 
     def move(self, address: Address) -> None:
         """Follow another agent at once; what the last one told stays known."""
         if address != self._address:
             self._address = address
-            if self._turn:
-                self._turn.reschedule(asyncio.get_running_loop().time())
-            else:
+            if self._turn is None:
                 self.seq = 0  # what is known has another agent's version
+            elif not self._turn.expired():  # else it moves already, and goes to the latest address
+                self._turn.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
         """Watch for ever; each break is followed by a new watch from the last version read."""
         rests = False  # what is known at the start may be old: a drain told since is to be heard at once
-        while True:
-            try:
-                async with asyncio.timeout(None) as self._turn:
-                    if rests:
-                        await asyncio.sleep(self._patience.wait_s())
-                    rests = True
-                    self._patience.failed()  # until it is served
-                    await self._try()
-            except TimeoutError:  # moved: the new agent counts its versions from where it likes
-                self.seq, rests = 0, False
-                self._patience.served()
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout(None) as self._turn:
+                        if rests:
+                            await asyncio.sleep(self._patience.wait_s())
+                        rests = True
+                        self._patience.failed()  # until it is served
+                        await self._try()
+                except TimeoutError:  # moved: the new agent counts its versions from where it likes
+                    self._hold(None)
+                    self.seq, rests = 0, False
+                    self._patience.served()
+        finally:
+            self._hold(None)
 
     async def _try(self) -> None:
         try:
@@ -222,21 +243,40 @@
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
         host, port = self._address
-        self._fresh = True
-        async with asyncio.timeout(CONNECT_S):
-            transport, stream = await loop.create_connection(
-                lambda: _Stream(self._told, self._patience.served), host, port
-            )
-        query = f"GET /discovery/hosts?follow=1&since={self.seq} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        transport.write(query.encode())
+        async with asyncio.timeout(self._patience.within_s(CONNECT_S)):
+            _, stream = await loop.create_connection(lambda: _Stream(self._told, self._heard), host, port)
+        first_s = self._patience.within_s(SILENCE_S)
         try:
+            query = f"GET /discovery/hosts?follow=1&since={self.seq} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+            assert stream._transport
+            stream._transport.write(query.encode())
             # TCP does not tell that the other machine vanished: only its silence does.
-            while not stream.ended.done() and (left := stream.heard + SILENCE_S - loop.time()) > 0:
+            while not stream.ended.done():
+                left = stream.heard + (SILENCE_S if stream.spoke else first_s) - loop.time()
+                if left <= 0:
+                    self._hold(stream)
+                    return
                 await asyncio.wait([stream.ended], timeout=left)
         finally:
-            transport.abort()
-
-    def _told(self, raw: Any) -> bool:
+            if stream is not self._held:
+                stream.abort()
+
+    def _hold(self, stream: _Stream | None) -> None:
+        """Listen on to one that has fallen silent, in place of the one before it."""
+        if self._held and not self._held.ended.done():
+            if stream and self._held.heard > stream.heard:
+                return  # the one before has spoken since this one was asked for
+            self._held.abort()
+        self._held = stream
+
+    def _heard(self, stream: _Stream, quiet: bool) -> None:
+        """A watch speaks: none before it is needed. With `quiet` it says that nothing is new."""
+        if stream is not self._held:
+            self._hold(None)
+        if quiet:
+            self._patience.served()
+
+    def _told(self, stream: _Stream, raw: Any) -> bool:
         """Take one list; False where it must be asked for again."""
         try:
             told, sound = parse_list(raw)
@@ -245,9 +285,9 @@
             return False
         self._patience.served()
         # Repeats and stragglers are old news; only the first list of a watch may start versions anew.
-        if told.seq <= self.seq and not (self._fresh and told.whole):
+        if told.seq <= self.seq and not (stream.fresh and told.whole):
             return True
-        self._fresh = False
+        stream.fresh = False
         self._on_list(told)
         if sound:
             self.seq = told.seq
--- a/basaltpoint/membership/patience.py
+++ b/basaltpoint/membership/patience.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 FIRST_S = (
     0.02,
     0.2,
 )  # after a watch that told something: less than the least bound on a drain's notice, 250 ms
+FIRST_PART = 0.8  # of the deployment's bound on a drain's notice, where that is shorter than these
+PROMPT_S = 0.3  # for the agent's first word, doubled with each call that fails; it answers at once
 STEP_S = 0.2  # mean wait after the first call that fails, doubled with each further one
 LONGEST_S = 1.0  # longest mean wait: a drain that is told meanwhile is overheard for so long
 
@@ -22,8 +25,10 @@
     many calls away at a price: a limiter of 40 then asks up to four times as often.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, bound_s: float = math.inf) -> None:
+        """`bound_s`: how long after a drain was told nothing more may go to its server."""
         self._rng = rng
+        self._first = min(FIRST_S[0], FIRST_PART * bound_s), min(FIRST_S[1], FIRST_PART * bound_s)
         self._failed = 0
 
     def failed(self) -> None:
@@ -34,9 +39,16 @@
         """A call told what was asked for."""
         self._failed = 0
 
+    def within_s(self, most: float) -> float:
+        """How long a call that has begun may take to come up, or to say its first word.
+
+        A lost one must not cost what a silent agent may: it grows where all are slow, or none is there.
+        """
+        return min(most, PROMPT_S * 2.0 ** min(max(0, self._failed - 1), 16))
+
     def wait_s(self) -> float:
         """Seconds until the next call."""
         if not self._failed:
-            return self._rng.uniform(*FIRST_S)
+            return self._rng.uniform(*self._first)
         mean = min(LONGEST_S, STEP_S * 2.0 ** min(self._failed - 1, 16))
         return mean * self._rng.uniform(0.5, 1.5)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,6 +6,8 @@
 import json
 import random
 import time
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from sockets import (
@@ -124,6 +126,7 @@
 
     def __init__(self) -> None:
         self.lists: list[HostList] = []
+        self.stream: Any = SimpleNamespace(fresh=True)
         self.watch = Watch(("127.0.0.1", 1), self.lists.append, Patience(random.Random(1)))
 
     def line(self, line: object) -> bool:
@@ -132,7 +135,7 @@
             [told] = Objects().feed(raw)
         except BrokenError:
             return False
-        return self.watch._told(told)
+        return self.watch._told(self.stream, told)
 
 
 @pytest.mark.parametrize(
@@ -187,7 +190,7 @@
     for old in (listing(3), listing(2), listing(2, {**A, "health": "left"}, whole=False)):
         assert told.line(old)
     assert len(told.lists) == 1
-    told.watch._fresh = True  # a new watch: its first line, when whole, is where discovery stands
+    told.stream.fresh = True  # a new watch: its first line, when whole, is where discovery stands
     told.line(listing(1, A))
     assert (told.watch.seq, len(told.lists)) == (1, 2)
 
--- a/tests/test_moments_lists.py
+++ b/tests/test_moments_lists.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import time
+from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
@@ -195,3 +197,123 @@
         server.close()
 
     run(test())
+
+
+# --- Two watches at once ----------------------------------------------------------------------------------
+class Silent:
+    """An agent that says nothing by itself: each call that is asked of it can be answered by hand."""
+
+    def __init__(self) -> None:
+        self.calls: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+        self.left: list[asyncio.StreamWriter] = []  # by the limiter
+        self.address = ("", 0)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.calls.put_nowait(writer)
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        self.left.append(writer)
+
+    def answer(self, call: asyncio.StreamWriter, told: dict[str, Any], status: str = "200 OK") -> None:
+        head = f"HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+        raw = json.dumps(told).encode() + b"\n"
+        call.write(head + b"%x\r\n%s\r\n" % (len(raw), raw))
+
+
+@contextlib.asynccontextmanager
+async def silent(rig: Any) -> AsyncIterator[Silent]:
+    """A limiter that asks such an agent."""
+    made = Silent()
+    server = await asyncio.start_server(made._serve, "127.0.0.1", 0)
+    made.address = rig.watch._address = server.sockets[0].getsockname()
+    task = asyncio.create_task(rig.watch.run())
+    try:
+        yield made
+    finally:
+        task.cancel()
+        server.close()
+
+
+A, B = host("a", "127.0.0.1:1"), host("b", "127.0.0.1:2")
+LEAVES = host("a", "127.0.0.1:1", "leaving")
+
+
+def test_a_call_without_a_word_is_not_waited_for_as_long_as_a_quiet_watch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The agent answers at once: a call that was lost must not cost a limiter every drain for seconds."""
+    monkeypatch.setattr(discovery, "SILENCE_S", 1e6)
+
+    async def test() -> None:
+        async with limiter(A) as rig, silent(rig) as agent:
+            await agent.calls.get()  # lost
+            agent.answer(await agent.calls.get(), listing(2, LEAVES))
+            await until(lambda: rig.watch.seq == 2)
+
+    run(test())
+
+
+@pytest.mark.parametrize("first", ["old", "new"])
+def test_what_a_silent_watch_tells_counts_until_another_one_speaks(first: str) -> None:
+    """Discovery is back: it may answer on either, in either order, and the older news must not stand last."""
+
+    async def test() -> None:
+        async with limiter(A) as rig, silent(rig) as agent:
+            old, new = await agent.calls.get(), await agent.calls.get()
+            if first == "old":
+                agent.answer(old, listing(2, LEAVES))
+                await until(lambda: rig.watch.seq == 2)
+            agent.answer(new, listing(3, LEAVES, B))
+            await until(lambda: rig.watch.seq == 3)
+            await until(lambda: old in agent.left)
+            with contextlib.suppress(ConnectionError):  # nobody listens there any more
+                agent.answer(old, listing(1, A))
+                await old.drain()
+            raw = json.dumps(listing(4, B)).encode() + b"\n"
+            new.write(b"%x\r\n%s\r\n" % (len(raw), raw))
+            await until(lambda: rig.watch.seq == 4)
+            assert set(rig.limiter._hosts) == {"b"}
+
+    run(test())
+
+
+def test_a_refusal_does_not_end_the_watch_that_is_held() -> None:
+    """It says that the agent lives, and nothing of whether the older call is lost."""
+
+    async def test() -> None:
+        async with limiter(A) as rig, silent(rig) as agent:
+            old, new = await agent.calls.get(), await agent.calls.get()
+            agent.answer(new, listing(9), "503 Busy")
+            await agent.calls.get()  # it was asked again
+            agent.answer(old, listing(2, LEAVES))
+            await until(lambda: rig.watch.seq == 2)
+
+    run(test())
+
+
+def test_no_more_than_two_watches_are_open() -> None:
+    async def test() -> None:
+        async with limiter(A) as rig, silent(rig) as agent:
+            calls = [await agent.calls.get() for _ in range(4)]
+            await until(lambda: agent.left == calls[:2])
+
+    run(test())
+
+
+def test_two_moves_in_one_turn_end_at_the_latest_address() -> None:
+    """The first has ended the turn and nobody has heard of it when the second comes."""
+
+    async def test() -> None:
+        async with agent() as one, agent() as two, agent() as three:
+            async with limiter(A, watched=one) as rig:
+                await one.watches.get()
+                rig.watch.move(two.address)
+                await asyncio.sleep(0)  # the turn's time-out has run, what it cancels has not
+                rig.watch.move(three.address)
+                await three.watches.get()
+                three.tell(listing(2, B))
+                await until(lambda: rig.watch.seq == 2)
+                assert two.watches.empty()
+
+    run(test())
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -68,3 +68,21 @@
                 await until(lambda: rig.watch.seq == 2)
 
     run(test())
+
+
+@pytest.mark.parametrize("bound", [0.01, 0.1, 0.25, 1.0])
+def test_a_break_is_over_within_the_deployments_own_bound(bound: float) -> None:
+    """Another customer may ask for less than 250 ms."""
+    assert max(Patience(random.Random(n), bound).wait_s() for n in range(200)) < bound
+
+
+def test_a_lost_call_is_given_up_sooner_than_a_silent_agent() -> None:
+    """0.3 s for the first, twice as long for each further one, and never beyond what its caller allows."""
+    patience, found = Patience(random.Random(1)), []
+    for _ in range(7):
+        patience.failed()
+        found.append(round(patience.within_s(4.5), 3))
+    assert found == [0.3, 0.6, 1.2, 2.4, 4.5, 4.5, 4.5]
+    patience.served()
+    assert patience.within_s(4.5) == 0.3
+    assert patience.within_s(0.1) == 0.1
