--- a/tests/test_moments_ends.py
+++ b/tests/test_moments_ends.py
@@ -399,3 +399,19 @@
         assert "draining" in (tmp_path / "log").read_text()
 
     run(test())
+
+
+def test_a_connection_ends_at_once_behind_an_answer_that_has_gone_out() -> None:
+    """A client that would keep it costs a crowd its room: nothing is waited for where nothing can be lost."""
+
+    async def test() -> None:
+        async with backend(echo) as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            await until(lambda: bool(rig.clients._open))
+            [kept] = rig.clients._open
+            client.send(message(ident="one", Connection="close"))
+            await until(lambda: kept._transport is not None and kept._transport.is_closing())
+            assert not kept._ending
+            assert (await client.answer()).body == b"one"
+
+    run(test())
