--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -672,22 +672,13 @@
         return [b"HTTP/1.1 200 OK\r\n", framing, headers, ends, *pieces]
 
     def _end(self) -> None:
-        """Close behind the last answer, once the loop has handed it to the system."""
-        self._deaf = True
-        if self._transport is None or self._transport.is_closing():
-            return
-        if not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
-        asyncio.get_running_loop().call_soon(self._part)
-
-    def _part(self) -> None:
-        """Lose nothing of the last answer to what its sender is still at.
+        """Close behind the last answer, and lose none of it to what its sender is still at.
 
         Closing over bytes that were not read, or that come while the answer is still on its way, resets the
         connection, and what the client has not got of the answer goes with it. So where either may be, the
         sending ends first, and what comes is read past for a while.
         """
+        self._deaf = True
         if self._transport is None or self._transport.is_closing():
             return
         if not self._rejected and not self._transport.get_write_buffer_size() and self._unread() <= 0:
