--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -241,8 +241,8 @@
 
     def _may_repeat(self, request: Request, now: float, peer: Peer) -> bool:
         """The repeats rule, passed by every send."""
-        if request.outstanding() and not self.settings.second_copies:
-            return False
+        if peer.health.avoid_ms > now or (request.outstanding() and not self.settings.second_copies):
+            return False  # a server that is full, or would get a second copy
         ran, scope = [a.server for a in request.attempts if a.may_have_run], request.cls.scope
         if not ran or request.cls.effect is Effect.SAFE:
             return True
--- a/tests/test_jam.py
+++ b/tests/test_jam.py
@@ -248,3 +248,15 @@
     assert first.until_ms == 3500.0
     [second] = sends(rig.done(3500.0, first, "timeout", elapsed=500.0))
     assert second.until_ms == 4000.0
+
+
+def test_no_further_attempt_at_a_server_that_has_just_said_it_is_full() -> None:
+    """Where all are full, three more of each request were what kept them so."""
+    rig = calm(Rig())
+    [first] = sends(rig.arrive(3000.0))
+    [second] = sends(rig.done(3010.0, first, "full"))
+    assert second.server != first.server
+    done = rig.done(3020.0, second, "full", attempt=1)
+    assert [type(action) for action in done] == [api.Refuse]
+    [later] = sends(rig.arrive(3020.0))  # a first one may try: who was full may have room by now
+    assert len(sends(rig.done(3300.0, later, "reset"))) == 1  # and they are not left alone for long
