--- a/basaltpoint/policy/gateway.py
+++ b/basaltpoint/policy/gateway.py
@@ -272,7 +272,7 @@
         if peer is None:
             request.why = Why.SERVERS
             return False
-        whole = self._remembered(request)
+        whole = INF if first else self._remembered(request)
         request.attempts.append(Attempt(number, peer.entry, now))
         peer.waiting += 1
         peer.allowance -= 1.0
