--- a/tests/test_moments_servers.py
+++ b/tests/test_moments_servers.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from sockets import SETTINGS, Request, backend, echo, host, limiter, message, run, until
+from sockets import SETTINGS, Backend, Request, Rig, backend, echo, host, limiter, message, run, until
 
 from basaltpoint.core.table import Dispatch
 from basaltpoint.fronts.platform.config import REST_S
@@ -193,17 +193,23 @@
     run(test())
 
 
+async def paused(server: Backend, rig: Rig) -> tuple[socket.socket, list[Request], Any]:
+    """A client with four requests at a server and four more unread behind them, and its connection here."""
+    sock = socket.create_connection(rig.clients.address)
+    sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4)))
+    held = [await server.arrived.get() for _ in range(4)]
+    [client] = rig.clients._open
+    sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4, 8)))
+    return sock, held, client
+
+
 @pytest.mark.parametrize("how", ["close", "half-close", "reset"])
 def test_no_further_attempt_for_a_client_that_left_while_nothing_was_read_from_it(how: str) -> None:
     """Four requests stand on its connection, more lie in the socket, and its end lies behind them."""
 
     async def test() -> None:
         async with backend() as server, limiter(host("a", server.address)) as rig:
-            sock = socket.create_connection(rig.clients.address)
-            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4)))
-            held = [await server.arrived.get() for _ in range(4)]
-            [client] = rig.clients._open
-            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4, 8)))
+            sock, held, client = await paused(server, rig)
             assert client._paused
             if how == "reset":
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
@@ -226,11 +232,7 @@
 
     async def test() -> None:
         async with backend() as server, limiter(host("a", server.address)) as rig:
-            sock = socket.create_connection(rig.clients.address)
-            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4)))
-            held = [await server.arrived.get() for _ in range(4)]
-            [client] = rig.clients._open
-            sock.sendall(b"".join(message(ident=f"r-{n}") for n in range(4, 8)))
+            sock, held, client = await paused(server, rig)
             sock.shutdown(socket.SHUT_WR)
             await until(lambda: client._left())
             for request in held:
