--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 .venv/bin/python -c 'import sys; sys.path.insert(0, "review"); import rig'
 for file in review/*/case.py; do
-    .venv/bin/python -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
+    PYTHONDONTWRITEBYTECODE=1 .venv/bin/python -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
