--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""A server hangs in the middle of a long request: its client has to get a final answer in its time."""
+"""Clients read a long answer slowly but without a pause: each has to get all that the server gives."""
 
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import sys
 import time
 from pathlib import Path
@@ -12,111 +13,102 @@
 
 import rig  # noqa: E402
 
-SERVERS = 4  # one of them hangs: a quarter
-CLIENTS = 12
-BODY_BYTES = 6_000_000  # of up to 32 MB
-DEADLINE_S = 2.0  # 80% of what the class allows
-LATE_BY_S = 0.5  # up to so much after its time an answer only earns nothing
-RULE_MARGIN_S = 0.05  # each time limit on sockets is so much longer
-TEST_MARGIN_S = 0.25  # for this test's own delays
-LOOK_ON_S = 12.0  # how long a client is observed, to see when the answer comes
-HANG_AFTER_BYTES = 256 * 1024
+CLIENTS = 4
+ANSWER_BYTES = 6_000_000  # of up to 32 MB
+SLOW_BYTES_PER_S = 64_000  # the rate that the page names
+READ_EVERY_S = 0.1
+DEADLINE_S = 5.0
+BLOCK = hashlib.sha256(b"answer").digest() * 2048  # 64 KiB
 
 
-async def case(record: rig.Record) -> list[str]:
-    ran: dict[str, str] = {}
-    hung: list[str] = []
+def answer_of(ident: str) -> bytes:
+    start = ident.encode() * 8
+    return (start + BLOCK * (ANSWER_BYTES // len(BLOCK) + 1))[:ANSWER_BYTES]
 
-    def server(name: str, hangs: bool):
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            try:
-                while True:
-                    head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                    headers = {
-                        key.lower(): value
-                        for key, _, value in (row.partition(": ") for row in head.split("\r\n"))
-                    }
-                    ident, length = headers["req-id"], int(headers["content-length"])
-                    record.write(
-                        f"{name}: the head of {ident} has come, told Req-Deadline {headers['req-deadline']}"
-                    )
-                    left = length
-                    while left:
-                        if hangs and length - left >= HANG_AFTER_BYTES:
-                            hung.append(ident)
-                            record.write(f"{name}: hangs in the middle of {ident}")
-                            writer.transport.pause_reading()
-                            await asyncio.sleep(60)
-                        left -= len(await reader.readexactly(min(left, 65536)))
-                    ran[ident] = name
-                    record.write(f"{name}: {ident} runs")
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + ident.encode())
-            except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-                pass
-            finally:
-                writer.transport.abort()
 
-        return serve
+async def case(record: rig.Record) -> list[str]:
+    given: dict[str, int] = {}  # bytes that the server has handed to its connection, by Req-Id
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        ident = ""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                ident = next(row[8:] for row in head.split("\r\n") if row.lower().startswith("req-id: "))
+                record.write(f"server: {ident} has come, it runs")
+                body = answer_of(ident)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+                for start in range(0, len(body), 65536):
+                    writer.write(body[start : start + 65536])
+                    given[ident] = start
+                    await writer.drain()
+                given[ident] = len(body)
+                record.write(f"server: all of the answer to {ident} is given")
+        except (asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        except ConnectionError as error:
+            record.write(
+                f"server: the limiter has ended the connection of {ident} after {given[ident]} bytes: "
+                f"{error!r}"
+            )
+        finally:
+            writer.transport.abort()
 
     async def client(limiter: rig.Limiter, number: int) -> str | None:
-        """Sends one request; returns how the rule was broken, if it was."""
+        """Reads one answer; returns how the rule was broken, if it was."""
         ident, loop = f"{number:016x}", asyncio.get_running_loop()
         sock = await rig.connect(limiter.address)
-        written_at: list[float] = []
-
-        async def send() -> None:
-            extra = f"Idempotency-Key: {number:032x}\r\nContent-Length: {BODY_BYTES}\r\n"
-            await loop.sock_sendall(
-                sock, rig.request_head("POST", "obs-upload", ident, DEADLINE_S, extra=extra)
-            )
-            body = bytes(65536)
-            for start in range(0, BODY_BYTES, len(body)):
-                await loop.sock_sendall(sock, body[: BODY_BYTES - start])
-            written_at.append(time.monotonic())
-            record.write(f"client {ident}: last byte written")
-
-        sending = asyncio.create_task(send())
         try:
-            async with asyncio.timeout(LOOK_ON_S):
-                answer = await loop.sock_recv(sock, 65536)
-            text = answer.split(b"\r\n")[0].decode() or "closed with no answer"
-        except TimeoutError:
-            text = "no answer"
-        except ConnectionError as error:
-            text = f"no answer, {error!r}"
-        answered_at = time.monotonic()
-        sending.cancel()
-        sock.close()
-        if not written_at:
-            record.write(f"client {ident}: {text}; its last byte was not written, so nothing is owed")
-            return None
-        after_s = answered_at - written_at[0]
-        record.write(f"client {ident}: {text!r} {after_s:.3f} s after its last byte")
-        in_time = after_s <= DEADLINE_S + LATE_BY_S + RULE_MARGIN_S + TEST_MARGIN_S
-        if text.startswith("HTTP/1.1 ") and in_time:
+            await loop.sock_sendall(sock, rig.request_head("GET", "series-read", ident, DEADLINE_S))
+            record.write(f"client {ident}: sent")
+            received, longest_gap, last_read = bytearray(), 0.0, time.monotonic()
+            start = last_read
+            while (end := received.find(b"\r\n\r\n")) < 0 or len(received) < end + 4 + ANSWER_BYTES:
+                try:
+                    data = await loop.sock_recv(
+                        sock, int(SLOW_BYTES_PER_S * READ_EVERY_S) if rig.TROUBLE else 1 << 20
+                    )
+                except ConnectionError as error:
+                    record.write(f"client {ident}: {error!r}")
+                    data = b""
+                now = time.monotonic()
+                if not received:
+                    record.write(f"client {ident}: first bytes {now - start:.3f} s after the request")
+                longest_gap, last_read = max(longest_gap, now - last_read), now
+                if not data:
+                    break
+                received += data
+                if rig.TROUBLE:
+                    await asyncio.sleep(max(0.0, start + len(received) / SLOW_BYTES_PER_S - time.monotonic()))
+        finally:
+            sock.close()
+        head, _, body = bytes(received).partition(b"\r\n\r\n")
+        status = head.split(b"\r\n")[0].decode()
+        record.write(
+            f"client {ident}: {status!r}, {len(body)} of {ANSWER_BYTES} bytes "
+            f"in {time.monotonic() - start:.1f} s, longest time between two reads {longest_gap:.2f} s"
+        )
+        if not status.startswith("HTTP/1.1 200"):
+            return None  # refused or failed: a final answer
+        if body == answer_of(ident):
             return None
-        return f"{ident} waited for {DEADLINE_S} s and had {text!r} {after_s:.3f} s after its last byte"
+        if len(body) < ANSWER_BYTES:
+            return (
+                f"the answer to {ident} was cut off after {len(body)} of {ANSWER_BYTES} bytes: its client "
+                f"read on all the time, and its server had written {given[ident]} bytes of it"
+            )
+        return f"the answer to {ident} is not the one that its server made"
 
-    servers = [
-        await asyncio.start_server(server(f"s{n}", rig.TROUBLE and n == 1), "127.0.0.1", 0)
-        for n in range(1, SERVERS + 1)
-    ]
-    entries = [
-        rig.host_entry(f"s{n}", each.sockets[0].getsockname()[:2]) for n, each in enumerate(servers, start=1)
-    ]
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    entries = [rig.host_entry("s1", server.sockets[0].getsockname()[:2])]
     async with rig.world(FOLDER, entries, record) as (agent, limiter):
         await limiter.start(agent, rig.settings())
-        clients = []
-        for number in range(1, CLIENTS + 1):
-            clients.append(asyncio.create_task(client(limiter, number)))
-            await asyncio.sleep(0.02)
-        found = await asyncio.gather(*clients)
-        for each in servers:
-            each.close()
+        found = await asyncio.gather(*(client(limiter, number) for number in range(1, CLIENTS + 1)))
+        server.close()
         if limiter.process and limiter.process.returncode is not None:
             return [f"the limiter ended with {limiter.process.returncode}"]
-    if rig.TROUBLE and not hung:
-        raise rig.CouldNotRunError("no request met the server that hangs")
+    if not given:
+        raise rig.CouldNotRunError("no request reached the server")
     return [text for text in found if text]
 
 
