Platform: slow readers of long responses are told from clients that have stopped

The kernel reports a socket as writable once a third of its send buffer (4 MB) is free: 20 s at that rate. Ruled out: a pause of the client (0.15 s at most in its record), a stalled server (it had given all). A probe shows 95 kB acknowledged every 1.5 s while writing is paused for over 14 s; with a receive buffer of 4 MB nothing for 12.0 s, though the client reads. So acknowledgements alone would not do, either.

Change: progress is what the client's kernel has acknowledged; on top of the limit comes the time in which half of the largest receive window is read at 32 kB/s, which a receiver need not announce (RFC 9293, 3.8.6.2.2). The log line now has what tells the cases apart.

--- a/basaltpoint/fronts/platform/client_connection.py
+++ b/basaltpoint/fronts/platform/client_connection.py
@@ -19,6 +19,7 @@
 from basaltpoint.fronts.platform.limiter import Limiter
 from basaltpoint.fronts.platform.request_check import BadRequestError, RequestCheck
 from basaltpoint.fronts.unread import UnreadData, peek, time_unread_s
+from basaltpoint.system.send_progress import SendProgress
 from basaltpoint.telemetry import trace
 from basaltpoint.upstream.buffered import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES
 
@@ -96,7 +97,7 @@
         self._is_lingering = False  # the last response is being sent; input is discarded
         self._is_read_paused = False
         self._is_write_paused = False  # the client does not read its responses
-        self.write_paused_since: float | None = None
+        self._send_progress: SendProgress | None = None  # while the client's connection takes no more
         self._is_upload_paused = False  # the server accepts no more of the body
         self._read_paused_at = 0.0
         self._upload: ClientRequest | None = None  # whose body is being received and forwarded
@@ -134,11 +135,11 @@
                 self._clients.limiter.abandon(request.exchange)
 
     def pause_writing(self) -> None:
-        self._is_write_paused, self.write_paused_since = True, monotonic()
+        self._is_write_paused, self._send_progress = True, SendProgress(self._sock, monotonic())
         self._update_reading()
 
     def resume_writing(self) -> None:
-        self._is_write_paused, self.write_paused_since = False, None
+        self._is_write_paused, self._send_progress = False, None
         self._update_reading()
 
     def pause_upload(self, paused: bool) -> None:
@@ -252,6 +253,13 @@
         )
         return waits and self._last_body_at < limit
 
+    def abort_if_unread(self, now: float, timeout_s: float) -> None:
+        """Aborts the connection if its client has stopped reading its response; `now`: monotonic seconds."""
+        progress = self._send_progress
+        if progress and progress.has_reader_stopped(now, timeout_s):
+            log.warning("a client has stopped reading its response: %s", progress.describe(now))
+            self.abort("it does not read its response")
+
     @property
     def is_idle(self) -> bool:
         return not self._requests and self.request_begun_at is None
--- a/tests/limiterprocs.py
+++ b/tests/limiterprocs.py
@@ -15,23 +15,30 @@
 from sockets import Client, document, unused_address
 
 ROOT = Path(__file__).parent.parent
+START = "\nimport runpy\nrunpy.run_module('basaltpoint', run_name='__main__')\n"
 
 
 class LimiterProcess:
     """A limiter with a constant name and address, over several starts."""
 
-    def __init__(self, path: Path, name: str = "n3", **environment: str) -> None:
+    def __init__(
+        self, path: Path, name: str = "n3", changes: str = "", sockets: int = 1024, **environment: str
+    ) -> None:
+        """`changes`: statements that the process executes first, to shorten a time limit."""
         self.path = path
         self.name = name
         self.address = unused_address()
         self.started_at = 0.0  # monotonic seconds
         self.log = path / f"{name}.log"
+        self._sockets = sockets
+        self._program = ["-c", changes + START] if changes else ["-m", "basaltpoint"]
         self._environment = {"GW_TRACE": "1", **environment}
         self._process: asyncio.subprocess.Process | None = None
 
     async def start(self, discovery: tuple[str, int], known: dict[str, Any], **settings: Any) -> None:
         raw = document(self.address)
         raw["settings"] = {**raw["settings"], **settings}
+        raw["limits"]["sockets"] = self._sockets
         raw.update(name=self.name, discovery="{}:{}".format(*discovery), known=known)
         file = self.path / f"{self.name}.json"
         file.write_text(json.dumps(raw))
@@ -39,7 +46,7 @@
         self.started_at = monotonic()
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "basaltpoint", cwd=ROOT, env=environment, stderr=log
+                sys.executable, *self._program, cwd=ROOT, env=environment, stderr=log
             )
 
     async def kill(self) -> None:
--- /dev/null
+++ b/tests/test_slow_readers.py
@@ -0,0 +1,146 @@
+"""Peers that read slowly, but without a pause, are not taken for peers that have stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from limiterprocs import LimiterProcess
+from sockets import Backend, Request, backend, host, listing, message, run, until, unused_address
+
+from basaltpoint.system.send_progress import MIN_PEER_BYTES_PER_S, SendProgress, send_state
+
+ANSWER = bytes(range(256)) * 24_000  # 6 MB: more than the kernel's buffers hold
+SLOW_BYTES_PER_S = 64_000
+READ_INTERVAL_S = 0.05
+WRITE_TIMEOUT_S = 0.5
+SHORT_TIMEOUT = (
+    f"from basaltpoint.fronts.platform import clients\nclients.WRITE_TIMEOUT_S = {WRITE_TIMEOUT_S}\n"
+)
+
+
+async def answer_long(request: Request) -> None:
+    request.reply(body=ANSWER)
+
+
+@contextlib.asynccontextmanager
+async def limiter_process(path: Path, server: Backend, changes: str) -> AsyncIterator[LimiterProcess]:
+    limiter = LimiterProcess(path, changes=changes)
+    host_name, port = unused_address().split(":")
+    await limiter.start((host_name, int(port)), listing(1, host("a", server.address)))
+    try:
+        await limiter.up()
+        yield limiter
+    finally:
+        await limiter.kill()
+
+
+async def connect(address: str, receive_buffer: int) -> socket.socket:
+    """Connects; `receive_buffer`: its size in bytes, the system's default if 0."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    if receive_buffer:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    name, port = address.split(":")
+    await asyncio.get_running_loop().sock_connect(sock, (name, int(port)))
+    return sock
+
+
+async def read_slowly(sock: socket.socket, seconds: float) -> bytes:
+    """Reads at 64 kB/s, never with a pause."""
+    loop, start, received = asyncio.get_running_loop(), time.monotonic(), bytearray()
+    while time.monotonic() < start + seconds:
+        data = await loop.sock_recv(sock, int(SLOW_BYTES_PER_S * READ_INTERVAL_S))
+        assert data, f"the connection ended after {len(received)} bytes"
+        received += data
+        await asyncio.sleep(max(0.0, start + len(received) / SLOW_BYTES_PER_S - time.monotonic()))
+    return bytes(received)
+
+
+async def read_until(sock: socket.socket, received: bytes, end: bytes) -> bytes:
+    loop, data = asyncio.get_running_loop(), bytearray(received)
+    while not data.endswith(end):
+        piece = await loop.sock_recv(sock, 1 << 20)
+        assert piece, f"the connection ended after {len(data)} bytes"
+        data += piece
+    return bytes(data)
+
+
+@pytest.mark.parametrize("receive_buffer", [0, 1 << 20], ids=["default buffer", "large buffer"])
+def test_a_slow_reader_gets_its_whole_answer(tmp_path: Path, receive_buffer: int) -> None:
+    """Guards against a client being cut off because the kernel's send buffer takes long to become writable.
+
+    With a large receive buffer even the client's acknowledgements pause for longer than the time limit.
+    """
+
+    async def test() -> None:
+        async with (
+            backend(answer_long) as server,
+            limiter_process(tmp_path, server, SHORT_TIMEOUT) as limiter,
+        ):
+            with await connect(limiter.address, receive_buffer) as sock:
+                await asyncio.get_running_loop().sock_sendall(sock, message("read"))
+                received = await read_slowly(sock, seconds=8 * WRITE_TIMEOUT_S)
+                received = await read_until(sock, received, ANSWER[-4096:])
+            assert received.endswith(ANSWER)
+
+    run(test())
+
+
+def test_a_client_that_has_stopped_reading_is_cut_off(tmp_path: Path) -> None:
+    """Guards against connections that are held for good: a client without progress has a time limit."""
+
+    async def test() -> None:
+        async with (
+            backend(answer_long) as server,
+            limiter_process(tmp_path, server, SHORT_TIMEOUT) as limiter,
+        ):
+            with await connect(limiter.address, 8192) as sock:
+                await asyncio.get_running_loop().sock_sendall(sock, message("read"))
+                await until(lambda: "a client has stopped reading its response" in limiter.log.read_text())
+
+    run(test())
+
+
+def test_the_longest_silence_of_a_reader_follows_its_receive_window() -> None:
+    """Half of the largest window may be read before the receiver has to announce it (RFC 9293, 3.8.6.2.2)."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            with await connect("{}:{}".format(*listener.getsockname()), 8192) as reader:
+                sender, _ = await loop.sock_accept(listener)
+                with sender:
+                    progress = SendProgress(sender, 0.0)
+                    while True:
+                        try:
+                            sender.send(b"x" * 65536)
+                        except BlockingIOError:
+                            break
+                    await until(lambda: progress.seconds_without_progress(1.0) == 0.0)
+                    first = send_state(sender)
+                    assert first is not None and 0 < first.acknowledged < first.max_window
+                    silent_s = min(first.acknowledged, first.max_window // 2) / MIN_PEER_BYTES_PER_S
+                    assert progress.max_silent_read_s == silent_s
+                    assert not progress.has_reader_stopped(1.0 + silent_s + 2.0, timeout_s=2.0)
+                    assert progress.has_reader_stopped(1.1 + silent_s + 2.0, timeout_s=2.0)
+                    await read_until(reader, b"", b"x" * (first.acknowledged + 1))
+                    await until(lambda: send_state(sender) != first)
+                    assert not progress.has_reader_stopped(100.0, timeout_s=2.0)
+
+    run(test())
+
+
+def test_without_the_kernels_figures_the_whole_time_since_the_block_counts() -> None:
+    near, far = socket.socketpair()  # local sockets have no `tcp_info`
+    with near, far:
+        progress = SendProgress(near, 10.0)
+        assert send_state(near) is None
+        assert not progress.has_reader_stopped(12.0, timeout_s=2.0)
+        assert progress.has_reader_stopped(12.1, timeout_s=2.0)
