Standalone: stall_s no longer resets clients that read a long response slowly

What callers saw: with stall_s = 0.5 a client that reads 6 MB at 64 kB/s, without a pause, got a reset; with the default of 30 s it takes a rate under 45 kB/s or larger buffers.

Cause: as in the platform's front: close_stalled took the time since pause_writing for the time since the client had last read. Ruled out: another time limit (the log names this one).

Change: the connection's progress is what the client's kernel has acknowledged; the setting's text tells of the time that is added for what it need not announce.

Measured: the two new tests (real process, usual and large receive buffer) failed before with a reset and pass now; a client that has stopped is still cut off.

--- a/basaltpoint/config/schema.py
+++ b/basaltpoint/config/schema.py
@@ -89,7 +89,7 @@
     stall_s: Annotated[
         float,
         described(
-            "A connection is closed if its client neither sends nor reads for this time while a request or response is being transferred.",
+            "A connection is closed if its client neither sends nor reads for this time while a request or response is being transferred. A client's system need not announce what it has read: the time for half of its receive window at 32 kB a second is added.",
             gt=0,
             le=3600,
         ),
--- a/basaltpoint/fronts/http/connection.py
+++ b/basaltpoint/fronts/http/connection.py
@@ -18,6 +18,7 @@
 from basaltpoint.fronts.http import message
 from basaltpoint.fronts.http.message import BadRequestError, Headers, Request
 from basaltpoint.fronts.unread import UnreadData, peek
+from basaltpoint.system.send_progress import SendProgress
 
 log = logging.getLogger(__name__)
 
@@ -98,7 +99,7 @@
         self.peer = ""
         self.head_started_at: float | None = None  # monotonic seconds; None while no head is incomplete
         self.last_activity_at = monotonic()  # when the client last sent or accepted data, seconds
-        self.write_blocked_at: float | None = None  # since when the client has not read its response
+        self._send_progress: SendProgress | None = None  # while the client's connection takes no more
 
     # --- Connection ------------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -140,16 +141,28 @@
         return self._receiving is not None and not self._read_paused and not self._input_closed
 
     def pause_writing(self) -> None:
-        self.write_blocked_at = monotonic()
+        self._send_progress = SendProgress(self._sock, monotonic())
         if self._queue and self._queue[0].handler:
             self._queue[0].handler.client_writable(False)
 
     def resume_writing(self) -> None:
-        self.write_blocked_at = None
+        self._send_progress = None
         self.last_activity_at = monotonic()
         if self._queue and self._queue[0].handler:
             self._queue[0].handler.client_writable(True)
 
+    def reset_if_unread(self, now: float, timeout_s: float) -> bool:
+        """Resets the connection if its client has stopped reading its response; returns whether it did.
+
+        `now`: monotonic seconds.
+        """
+        progress = self._send_progress
+        if progress is None or not progress.has_reader_stopped(now, timeout_s):
+            return False
+        log.warning("a client at %s has stopped reading its answer: %s", self.peer, progress.describe(now))
+        self.reset()
+        return True
+
     def pause_upload(self, is_paused: bool) -> None:
         """Pauses or resumes reading the body, depending on whether its data can be passed to the server."""
         self._upload_paused = is_paused
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -355,12 +355,8 @@
         for connection in list(self.connections):
             if connection.head_started_at is not None and now - connection.head_started_at > clients.head_s:
                 connection.reject_timeout("the head does not come whole")
-            elif (
-                connection.write_blocked_at is not None
-                and now - connection.write_blocked_at > clients.stall_s
-            ):
-                log.warning("a client at %s has stopped reading its answer", connection.peer)
-                connection.reset()
+            elif connection.reset_if_unread(now, clients.stall_s):
+                continue
             elif connection.awaits_body and now - connection.last_activity_at > clients.stall_s:
                 connection.reject_timeout("the body does not come whole")
             elif now - connection.last_activity_at > clients.idle_s and connection.can_close(now):
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -12,6 +12,8 @@
 import pytest
 from limiterprocs import LimiterProcess
 from sockets import Backend, Request, backend, host, listing, message, run, until, unused_address
+from standalone import config, request
+from test_serve import Program, program
 
 from basaltpoint.system.send_progress import MIN_PEER_BYTES_PER_S, SendProgress, send_state
 
@@ -92,6 +94,31 @@
     run(test())
 
 
+@contextlib.asynccontextmanager
+async def standalone_process(path: Path, server: Backend) -> AsyncIterator[Program]:
+    """A standalone limiter with a short time limit."""
+    text = config(server.address, extra=f"[clients]\nstall_s = {WRITE_TIMEOUT_S}\n")
+    async with program(path, text) as running:
+        yield running
+
+
+@pytest.mark.parametrize("receive_buffer", [0, 1 << 20], ids=["default buffer", "large buffer"])
+def test_a_slow_reader_gets_its_whole_answer_from_the_standalone_limiter(
+    tmp_path: Path, receive_buffer: int
+) -> None:
+    """Guards against the standalone front's `stall_s` applying to a client that reads."""
+
+    async def test() -> None:
+        async with backend(answer_long) as server, standalone_process(tmp_path, server) as limiter:
+            with await connect(limiter.address, receive_buffer) as sock:
+                await asyncio.get_running_loop().sock_sendall(sock, request())
+                received = await read_slowly(sock, seconds=8 * WRITE_TIMEOUT_S)
+                received = await read_until(sock, received, ANSWER[-4096:])
+            assert received.endswith(ANSWER)
+
+    run(test())
+
+
 def test_a_client_that_has_stopped_reading_is_cut_off(tmp_path: Path) -> None:
     """Guards against connections that are held for good: a client without progress has a time limit."""
 
@@ -107,6 +134,16 @@
     run(test())
 
 
+def test_a_client_that_has_stopped_reading_is_cut_off_by_the_standalone_limiter(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with backend(answer_long) as server, standalone_process(tmp_path, server) as limiter:
+            with await connect(limiter.address, 8192) as sock:
+                await asyncio.get_running_loop().sock_sendall(sock, request())
+                await until(lambda: "has stopped reading its answer" in limiter.log.read_text())
+
+    run(test())
+
+
 def test_the_longest_silence_of_a_reader_follows_its_receive_window() -> None:
     """Half of the largest window may be read before the receiver has to announce it (RFC 9293, 3.8.6.2.2)."""
 
