Platform: an upload is given up if the server acknowledges nothing, not if it is slow

What callers saw: a long upload to a server that reads it slowly, without a pause, was given up after 5 s and refused with 429.

Change: the time counts since the last acknowledgement. The time for what a receiver need not announce is not added here: the client of a server that hangs waits for its answer. The log line has the same figures as for clients.

--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -271,15 +271,18 @@
         self._servers.close_expired()
         now = monotonic()
         for exchange in list(self._exchanges.values()):
-            stream, paused_since = exchange.stream, exchange.write_paused_since
+            stream = exchange.stream
             silent = (
                 exchange.response_started
                 and stream
                 and not stream.is_paused
                 and now - stream.last_received_at > SERVER_TIMEOUT_S
             )
-            if stream and (silent or (paused_since is not None and now - paused_since > SERVER_TIMEOUT_S)):
-                log.warning("a server has stopped in the middle of %s", "a response" if silent else "a body")
+            if stream and silent:
+                log.warning("a server has stopped in the middle of a response")
+                stream.reset()
+            elif stream and (stall := exchange.upload_stall(now, SERVER_TIMEOUT_S)):
+                log.warning("a server has stopped in the middle of a body: %s", stall)
                 stream.reset()
 
     def close(self) -> None:
--- a/basaltpoint/fronts/platform/request_exchange.py
+++ b/basaltpoint/fronts/platform/request_exchange.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from basaltpoint.core.table import Reply, RequestResult
+from basaltpoint.system.send_progress import SendProgress
 from basaltpoint.upstream.buffered import MAX_BUFFERED_BODY_BYTES, BufferedAttempt
 from basaltpoint.upstream.servers import AttemptResult
 from basaltpoint.upstream.streams import StreamConnection
@@ -70,6 +71,7 @@
         "_is_body_complete",
         "_is_server_full",
         "_pieces",
+        "_upload_progress",
         "attempt",
         "attempt_deadline_ms",
         "attempt_number",
@@ -82,7 +84,6 @@
         "response_started",
         "stream",
         "wait_ms",
-        "write_paused_since",
     )
 
     def __init__(
@@ -102,7 +103,7 @@
         )
         self.response_started = False  # the response is being forwarded
         self.is_over = False
-        self.write_paused_since: float | None = None  # the server accepts no more of the body
+        self._upload_progress: SendProgress | None = None  # while the server accepts no more of the body
         self._pieces: list[bytes] = []  # of a streamed body, not yet sent to the server
         self._buffered_bytes = 0
         self._is_body_complete = not client.streamed
@@ -151,7 +152,10 @@
 
     def writable(self, ready: bool) -> None:
         self._is_server_full = not ready
-        self.write_paused_since = None if ready else self.write_paused_since or monotonic()
+        if ready:
+            self._upload_progress = None
+        elif self._upload_progress is None and self.stream:
+            self._upload_progress = self.stream.send_progress(monotonic())
         if self.client.streamed:
             self._send_body()
 
@@ -175,7 +179,18 @@
     def ended(self) -> None:
         """Clears the state of the ended attempt."""
         self.attempt = self.stream = None
-        self._is_server_full, self.write_paused_since = False, None
+        self._is_server_full, self._upload_progress = False, None
+
+    def upload_stall(self, now: float, timeout_s: float) -> str | None:
+        """Describes the upload if the server has accepted nothing of it for `timeout_s` seconds.
+
+        What its system may have left to read is not allowed for, unlike with clients: the client of a server
+        that hangs has to get its response in time.
+        """
+        progress = self._upload_progress
+        if progress is None or progress.seconds_without_progress(now) <= timeout_s:
+            return None
+        return progress.describe(now)
 
     # --- The client, called by its connection -------------------------------------------------------
     def client_writable(self, ready: bool) -> None:
--- a/basaltpoint/upstream/streams.py
+++ b/basaltpoint/upstream/streams.py
@@ -13,6 +13,7 @@
 import httptools
 
 from basaltpoint.interface import Status
+from basaltpoint.system.send_progress import SendProgress
 from basaltpoint.upstream.servers import Attempt, AttemptResult, Connection, ServerConnections, UpstreamServer
 
 log = logging.getLogger(__name__)
@@ -166,6 +167,10 @@
             self._attempt.receiver.writable(True)
             self._check_written()
 
+    def send_progress(self, now: float) -> SendProgress:
+        """Returns a measure of what the server takes from now on; `now`: monotonic seconds."""
+        return SendProgress(self._sock, now)
+
     # --- Back pressure -------------------------------------------------------------------------
     def set_paused(self, paused: bool) -> None:
         """Pauses or resumes reading, as the receiver of the response does."""
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -53,14 +53,14 @@
     return sock
 
 
-async def read_slowly(sock: socket.socket, seconds: float) -> bytes:
-    """Reads at 64 kB/s, never with a pause."""
+async def read_slowly(sock: socket.socket, seconds: float, bytes_per_s: int = SLOW_BYTES_PER_S) -> bytes:
+    """Reads at a low rate, never with a pause."""
     loop, start, received = asyncio.get_running_loop(), time.monotonic(), bytearray()
     while time.monotonic() < start + seconds:
-        data = await loop.sock_recv(sock, int(SLOW_BYTES_PER_S * READ_INTERVAL_S))
+        data = await loop.sock_recv(sock, int(bytes_per_s * READ_INTERVAL_S))
         assert data, f"the connection ended after {len(received)} bytes"
         received += data
-        await asyncio.sleep(max(0.0, start + len(received) / SLOW_BYTES_PER_S - time.monotonic()))
+        await asyncio.sleep(max(0.0, start + len(received) / bytes_per_s - time.monotonic()))
     return bytes(received)
 
 
@@ -144,6 +144,69 @@
     run(test())
 
 
+SERVER_TIMEOUT_S = 1.5
+# The send buffer's third takes longer than the time limit, a segment of the loopback (64 kB) much less.
+SERVER_BYTES_PER_S = 300_000
+SERVER_RECEIVE_BUFFER_BYTES = 128 * 1024
+SHORT_SERVER_TIMEOUT = (
+    f"from basaltpoint.fronts.platform import limiter\nlimiter.SERVER_TIMEOUT_S = {SERVER_TIMEOUT_S}\n"
+)
+
+
+@contextlib.asynccontextmanager
+async def slow_server(seconds: float) -> AsyncIterator[str]:
+    """A server that takes a body slowly for some time, then at full speed; yields its address."""
+
+    async def serve() -> None:
+        sock, _ = await asyncio.get_running_loop().sock_accept(listener)
+        with sock:
+            received = await read_slowly(sock, seconds, SERVER_BYTES_PER_S)
+            await read_until(sock, received, ANSWER[-4096:])
+            await asyncio.get_running_loop().sock_sendall(
+                sock, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+            )
+
+    with socket.socket() as listener:
+        # A server with more buffer than it reads within the time limit is taken for one that has stopped.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SERVER_RECEIVE_BUFFER_BYTES)
+        listener.setblocking(False)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        serving = asyncio.create_task(serve())
+        yield "{}:{}".format(*listener.getsockname())
+        serving.cancel()
+
+
+def test_a_server_that_takes_a_body_slowly_gets_all_of_it(tmp_path: Path) -> None:
+    """Guards against an upload being given up because the send buffer takes long to become writable."""
+
+    async def test() -> None:
+        async with slow_server(seconds=3 * SERVER_TIMEOUT_S) as address:
+            async with limiter_process(tmp_path, Backend(address=address), SHORT_SERVER_TIMEOUT) as limiter:
+                client = await limiter.connect()
+                client.send(message("upload", body=ANSWER))
+                answer = await client.answer()
+                assert (answer.code, answer.body) == (200, b"whole")
+                client.close()
+
+    run(test())
+
+
+def test_an_upload_to_a_server_that_has_stopped_reading_ends(tmp_path: Path) -> None:
+    """Guards against a request without an answer: its client has to get one though the server hangs."""
+
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as hung:  # connections are established, nobody reads
+            server = Backend(address="{}:{}".format(*hung.getsockname()))
+            async with limiter_process(tmp_path, server, SHORT_SERVER_TIMEOUT) as limiter:
+                client = await limiter.connect()
+                client.send(message("upload", body=ANSWER))
+                assert (await client.answer()).code in (429, 502)
+                client.close()
+
+    run(test())
+
+
 def test_the_longest_silence_of_a_reader_follows_its_receive_window() -> None:
     """Half of the largest window may be read before the receiver has to announce it (RFC 9293, 3.8.6.2.2)."""
 
