Both fronts: the last response is delivered before its connection is closed

What callers saw: a client that sends anything (a further request, the rest of a body) while the last, long response of its connection is on its way got a reset and lost the rest of it.

Cause: the same as with slow readers: what the kernel holds, up to 4 MB, was taken for delivered. The platform closed at once if its own buffer was empty, or 1 s after it was; the standalone front closed at once after a whole request, else 1 s after the response, whatever was left. Data that comes after such a close resets the connection (RFC 9112, 9.6). Ruled out: unread input at the close itself, which was looked for already.

Change: fronts/lingering_close.py, for both fronts: the sending side is closed, input is discarded, and the connection ends LINGER_S after the last acknowledgement, or once the client has stopped reading. A response that the kernel could send whole is closed upon at once, as before. The twin code in the two fronts is gone.

Measured: three new tests (real processes) failed before with a reset and pass now.

--- a/basaltpoint/fronts/http/connection.py
+++ b/basaltpoint/fronts/http/connection.py
@@ -17,12 +17,13 @@
 
 from basaltpoint.fronts.http import message
 from basaltpoint.fronts.http.message import BadRequestError, Headers, Request
+from basaltpoint.fronts.lingering_close import close_when_delivered, has_unsent_response
 from basaltpoint.fronts.unread import UnreadData, peek
 from basaltpoint.system.send_progress import SendProgress
 
 log = logging.getLogger(__name__)
 
-LINGER_TIMEOUT_S = 1.0  # how long a client may go on sending a rejected body before the connection is aborted
+LINGER_TIMEOUT_S = 1.0  # how long a client may keep sending after its last response was delivered
 MAX_PIPELINED = 1  # requests read ahead; reading pauses until the first of them is handled
 ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -50,6 +51,10 @@
     buffer_bytes: int
     is_closing: bool
 
+    @property
+    def write_timeout_s(self) -> float:
+        """How long a client may take nothing of its response, in seconds."""
+
     def admit(self, connection: ClientConnection, request: Request) -> RequestHandler:
         """Accepts a request; raises BadRequestError if it is answered with an error at once."""
 
@@ -454,20 +459,14 @@
             self._start_request(inbound)
 
     def _close_after_last(self, request_complete: bool) -> None:
-        """Closes the connection after the last response; at once only if the request is complete.
-
-        Resetting the connection while the client still sends could discard the response before it is read.
-        """
+        """Closes the connection after the last response: at once, if that can't lose any of it."""
         self._input_closed, self._receiving, self.head_started_at = True, None, None
         self._queue.clear()
         if self._transport is None or self._transport.is_closing():
             return
-        if request_complete:
+        if request_complete and not has_unsent_response(self._transport, self._sock):
             self._transport.close()
             return
         self._upload_paused = False
         self._update_reading()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        abort: Callable[[], None] = self._transport.abort
-        asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, abort)
+        close_when_delivered(self._transport, self._sock, LINGER_TIMEOUT_S, self._owner.write_timeout_s)
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -372,6 +372,10 @@
                 log.warning("a server stopped sending in the middle of its response")
                 stream.reset()
 
+    @property
+    def write_timeout_s(self) -> float:
+        return self.setup.file.clients.stall_s
+
     @property
     def open_requests(self) -> int:
         """The number of requests in hand, including those still being received or possibly on their way."""
--- a/basaltpoint/fronts/platform/client_connection.py
+++ b/basaltpoint/fronts/platform/client_connection.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from basaltpoint.fronts.lingering_close import close_when_delivered, has_unsent_response
 from basaltpoint.fronts.platform.client_request import ClientRequest
 from basaltpoint.fronts.platform.close_guard import CloseGuard
 from basaltpoint.fronts.platform.limiter import Limiter
@@ -28,7 +29,8 @@
 MAX_HEAD_BYTES = 16 * 1024
 MAX_PIPELINED = 4  # open requests of a connection; further ones stay in the socket
 MIN_BODY_BYTES_PER_S = 32_000  # mean rate of a body; clients may send 64,000
-LINGER_S = 1.0  # how long a rejected client may keep sending before its connection is closed
+LINGER_S = 1.0  # how long a client may keep sending after its last response was delivered
+WRITE_TIMEOUT_S = 10.0  # without progress of a client that has room for more of its response
 TCP_ESTABLISHED = 1  # state in TCP_INFO; it changes when the client closes or resets the connection
 # Repeated with different values these are rejected: another reader might use the other value.
 SINGLE_VALUE_HEADERS = frozenset(
@@ -253,10 +255,10 @@
         )
         return waits and self._last_body_at < limit
 
-    def abort_if_unread(self, now: float, timeout_s: float) -> None:
+    def abort_if_unread(self, now: float) -> None:
         """Aborts the connection if its client has stopped reading its response; `now`: monotonic seconds."""
         progress = self._send_progress
-        if progress and progress.has_reader_stopped(now, timeout_s):
+        if progress and progress.has_reader_stopped(now, WRITE_TIMEOUT_S):
             log.warning("a client has stopped reading its response: %s", progress.describe(now))
             self.abort("it does not read its response")
 
@@ -555,30 +557,18 @@
         return [b"HTTP/1.1 200 OK\r\n", framing, headers, ends, *pieces]
 
     def _end_after_response(self) -> None:
-        """Closes the connection after the last response without losing any of it.
-
-        Closing while data is unread, or arrives before the response is delivered, resets the connection, and
-        the client loses the rest of the response. In these cases the sending side is closed first,
-        and input is discarded for a while.
-        """
+        """Closes the connection after the last response: at once, if that can't lose any of it."""
         self._ignores_input = True
         if self._transport is None or self._transport.is_closing():
             return
         self._trace_close("after its last response")
         if (
             not self._has_rejected
-            and not self._transport.get_write_buffer_size()
+            and not has_unsent_response(self._transport, self._sock)
             and peek(self._sock) is not UnreadData.BYTES
         ):
             self._transport.close()
             return
         self.request_begun_at, self._is_lingering = None, True
         self._update_reading()
-        self._transport.write_eof()
-        self._linger()
-
-    def _linger(self) -> None:
-        """Aborts the connection some time after its response was sent; the sweep ends a stalled one."""
-        if self._transport and not self._transport.is_closing():
-            unsent = self._transport.get_write_buffer_size() > 0
-            asyncio.get_running_loop().call_later(LINGER_S, self._linger if unsent else self._transport.abort)
+        close_when_delivered(self._transport, self._sock, LINGER_S, WRITE_TIMEOUT_S)
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -26,7 +26,6 @@
 # get its error or the close within 3 s, including the interval between two sweeps.
 HEAD_TIMEOUT_S = 2.7
 BODY_IDLE_TIMEOUT_S = 2.0  # within a body; at the lowest rate clients write continuously
-WRITE_TIMEOUT_S = 10.0  # without progress of a client that has room for more of its response
 MIN_DRAIN_LISTEN_S = 0.45  # new connections arrive for up to 0.4 s after SIGTERM
 DRAIN_QUIET_S = 0.1  # without a new connection before the listener closes
 MAX_DRAIN_LISTEN_S = 0.6
@@ -194,7 +193,7 @@
             elif client.is_closable:
                 client.close("no request was received")
         for client in list(self._open):
-            client.abort_if_unread(now, WRITE_TIMEOUT_S)
+            client.abort_if_unread(now)
 
     def connection_idle(self, client: ClientConnection) -> None:
         """Hands a connection that has become idle over to the successor, if there is one."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -17,7 +17,7 @@
     ("cli",),
     ("daemon",),
     ("fronts.platform", "fronts.http", "fronts.control"),
-    ("fronts.shell", "fronts.unread"),
+    ("fronts.shell", "fronts.unread", "fronts.lingering_close"),
     ("handover",),
     ("sim",),
     ("rehearsal",),
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -227,7 +227,7 @@
 def test_a_client_that_stops_reading_uses_a_connection_but_little_memory(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(clients, "WRITE_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(client_connection, "WRITE_TIMEOUT_S", 0.3)
 
     async def test() -> None:
         async with raw_server() as server, limiter(host("a", server.address)) as rig:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -15,14 +15,17 @@
 from standalone import config, request
 from test_serve import Program, program
 
+from basaltpoint.fronts.http.connection import LINGER_TIMEOUT_S
 from basaltpoint.system.send_progress import MIN_PEER_BYTES_PER_S, SendProgress, send_state
 
-ANSWER = bytes(range(256)) * 24_000  # 6 MB: more than the kernel's buffers hold
+END = b"the end of the answer"  # occurs once
+ANSWER = bytes(range(256)) * 24_000 + END  # 6 MB: more than the kernel's buffers hold
 SLOW_BYTES_PER_S = 64_000
 READ_INTERVAL_S = 0.05
 WRITE_TIMEOUT_S = 0.5
 SHORT_TIMEOUT = (
-    f"from basaltpoint.fronts.platform import clients\nclients.WRITE_TIMEOUT_S = {WRITE_TIMEOUT_S}\n"
+    "from basaltpoint.fronts.platform import client_connection\n"
+    f"client_connection.WRITE_TIMEOUT_S = {WRITE_TIMEOUT_S}\n"
 )
 
 
@@ -88,7 +91,7 @@
             with await connect(limiter.address, receive_buffer) as sock:
                 await asyncio.get_running_loop().sock_sendall(sock, message("read"))
                 received = await read_slowly(sock, seconds=8 * WRITE_TIMEOUT_S)
-                received = await read_until(sock, received, ANSWER[-4096:])
+                received = await read_until(sock, received, END)
             assert received.endswith(ANSWER)
 
     run(test())
@@ -113,7 +116,7 @@
             with await connect(limiter.address, receive_buffer) as sock:
                 await asyncio.get_running_loop().sock_sendall(sock, request())
                 received = await read_slowly(sock, seconds=8 * WRITE_TIMEOUT_S)
-                received = await read_until(sock, received, ANSWER[-4096:])
+                received = await read_until(sock, received, END)
             assert received.endswith(ANSWER)
 
     run(test())
@@ -144,6 +147,76 @@
     run(test())
 
 
+LINGER_S = 0.2
+SHORT_LINGER = (
+    f"from basaltpoint.fronts.platform import client_connection\nclient_connection.LINGER_S = {LINGER_S}\n"
+)
+BUFFERED_ANSWER = ANSWER[-(3 << 20) :]  # the kernel's send buffer takes all of it
+
+
+@contextlib.asynccontextmanager
+async def early_server() -> AsyncIterator[tuple[Backend, asyncio.Event]]:
+    """A server that answers as soon as it has a request's head; the event: it has given all of its answer."""
+    given = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BUFFERED_ANSWER))
+            writer.write(BUFFERED_ANSWER)
+            await writer.drain()
+            given.set()
+            await reader.read()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    yield Backend(address="{}:{}".format(*server.sockets[0].getsockname())), given
+    server.close()
+
+
+async def send_during_the_last_answer(
+    sock: socket.socket, raw: bytes, given: asyncio.Event, linger_s: float
+) -> None:
+    """Sends a request, and more bytes once the limiter has handed all of the answer to its kernel."""
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(sock, raw)
+    await given.wait()
+    await asyncio.sleep(1.5 * linger_s)
+    await loop.sock_sendall(sock, b"and more")
+    await asyncio.sleep(1.5 * linger_s)
+    assert (await read_until(sock, b"", END)).endswith(BUFFERED_ANSWER)
+
+
+def test_what_a_client_sends_during_its_last_answer_costs_it_none_of_it(tmp_path: Path) -> None:
+    """Guards against a close, which resets the connection, while the kernel still holds the answer."""
+
+    async def test() -> None:
+        async with early_server() as (server, given):
+            async with limiter_process(tmp_path, server, SHORT_LINGER) as limiter:
+                with await connect(limiter.address, 0) as sock:
+                    await send_during_the_last_answer(
+                        sock, message("read", Connection="close"), given, LINGER_S
+                    )
+                    assert await asyncio.get_running_loop().sock_recv(sock, 1) == b""
+
+    run(test())
+
+
+@pytest.mark.parametrize("is_complete", [True, False], ids=["whole request", "request without its end"])
+def test_the_standalone_limiter_delivers_the_last_answer(tmp_path: Path, is_complete: bool) -> None:
+    """Guards against a close, at once or by time, while the kernel still holds the answer."""
+    raw = request(Connection="close")
+    if not is_complete:
+        raw = request("POST", body=b"x" * 200_000).replace(b"Content-Length: 2", b"Content-Length: 9", 1)
+
+    async def test() -> None:
+        async with early_server() as (server, given):
+            async with program(tmp_path, config(server.address)) as limiter:
+                with await connect(limiter.address, 0) as sock:
+                    await send_during_the_last_answer(sock, raw, given, LINGER_TIMEOUT_S)
+
+    run(test())
+
+
 SERVER_TIMEOUT_S = 1.5
 # The send buffer's third takes longer than the time limit, a segment of the loopback (64 kB) much less.
 SERVER_BYTES_PER_S = 300_000
@@ -161,7 +234,7 @@
         sock, _ = await asyncio.get_running_loop().sock_accept(listener)
         with sock:
             received = await read_slowly(sock, seconds, SERVER_BYTES_PER_S)
-            await read_until(sock, received, ANSWER[-4096:])
+            await read_until(sock, received, END)
             await asyncio.get_running_loop().sock_sendall(
                 sock, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
             )
