Both fronts: a drain waits until the last part of each response is written

What callers saw: a client that reads slowly while its limiter is told to end got the first part of its answer, then the end of the connection, though the process had seconds left.

Cause: the drain waited for open requests. A request ends with the last byte from its server; up to a write buffer (64 kB) of the response may then still wait here for the client, and the process exited over it. Ruled out: the kernel's part, which is delivered after the exit.

Change: a connection that holds part of a response counts as one in hand, up to the time that the drain has anyway.

Measured: two new tests (the platform's with a real process, send buffer made small) failed before: 12,288 of 60,000 bytes; the standalone drain was done while the client had not read. Both pass now.

--- a/basaltpoint/fronts/http/connection.py
+++ b/basaltpoint/fronts/http/connection.py
@@ -140,6 +140,11 @@
             and peek(self._sock) is not UnreadData.BYTES
         )
 
+    @property
+    def has_unwritten_response(self) -> bool:
+        """Whether this process still holds part of a response, which its end would lose."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     @property
     def awaits_body(self) -> bool:
         """Whether the client has yet to send a body and reading is not paused."""
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -378,12 +378,18 @@
 
     @property
     def open_requests(self) -> int:
-        """The number of requests in hand, including those still being received or possibly on their way."""
+        """The number of requests in hand.
+
+        Included are those that are still being received or possibly on their way, and responses of which this
+        process still holds a part.
+        """
         since = time.monotonic() - FIRST_REQUEST_GRACE_S
         in_use = sum(
             1
             for connection in self.connections
-            if not connection.is_idle or connection.expects_first_request(since)
+            if not connection.is_idle
+            or connection.has_unwritten_response
+            or connection.expects_first_request(since)
         )
         return in_use + len(self._pending_connections)
 
--- a/basaltpoint/fronts/platform/client_connection.py
+++ b/basaltpoint/fronts/platform/client_connection.py
@@ -192,6 +192,11 @@
         """Whether the connection is idle and its socket holds no data."""
         return self.is_idle and peek(self._sock) is not UnreadData.BYTES
 
+    @property
+    def has_unwritten_response(self) -> bool:
+        """Whether this process still holds part of a response, which its end would lose."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     @property
     def client_disconnected_unnoticed(self) -> bool:
         """Whether the client disconnected while reading was paused: the end of stream follows unread data."""
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -235,7 +235,8 @@
             await asyncio.sleep(0.01)
         self.closing = True
         while self.limiter.open_requests or any(
-            client.may_have_request(monotonic() - FIRST_REQUEST_GRACE_S) for client in self._open
+            client.has_unwritten_response or client.may_have_request(monotonic() - FIRST_REQUEST_GRACE_S)
+            for client in self._open
         ):
             if monotonic() >= end + FINAL_WRITE_S:
                 if self.limiter.open_requests:
--- a/tests/limiterprocs.py
+++ b/tests/limiterprocs.py
@@ -55,6 +55,15 @@
             self._process.send_signal(signal.SIGKILL)
         await self._process.wait()
 
+    def terminate(self) -> None:
+        assert self._process
+        self._process.send_signal(signal.SIGTERM)
+
+    async def ended(self) -> int:
+        """Waits until the process has ended; returns its exit code."""
+        assert self._process
+        return await self._process.wait()
+
     async def connect(self) -> Client:
         """Connects as soon as the process listens."""
         host, port = self.address.split(":")
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -12,7 +12,7 @@
 import pytest
 from limiterprocs import LimiterProcess
 from sockets import Backend, Request, backend, host, listing, message, run, until, unused_address
-from standalone import config, request
+from standalone import config, request, standalone
 from test_serve import Program, program
 
 from basaltpoint.fronts.http.connection import LINGER_TIMEOUT_S
@@ -217,6 +217,63 @@
     run(test())
 
 
+TAIL_ANSWER = BUFFERED_ANSWER[-60_000:]  # more than a small send buffer takes; no back pressure on the server
+SMALL_SEND_BUFFER = """
+import socket
+from basaltpoint.fronts.platform import clients
+adopt = clients.ClientConnections.adopt
+
+def adopt_with_small_buffer(self, sock, *rest):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    adopt(self, sock, *rest)
+
+clients.ClientConnections.adopt = adopt_with_small_buffer
+"""
+DRAIN_S = 1.5  # longer than a drain without anything in hand, and shorter than the time that it has
+
+
+async def answer_with_tail(request: Request) -> None:
+    request.reply(body=TAIL_ANSWER)
+
+
+def test_a_drain_waits_until_the_last_part_of_an_answer_is_written(tmp_path: Path) -> None:
+    """Guards against a process that exits while part of a response is in its own write buffer."""
+
+    async def test() -> None:
+        async with backend(answer_with_tail) as server:
+            async with limiter_process(tmp_path, server, SMALL_SEND_BUFFER) as limiter:
+                with await connect(limiter.address, 4096) as sock:
+                    await asyncio.get_running_loop().sock_sendall(sock, message("read"))
+                    await until(lambda: "request 1 ends served" in limiter.log.read_text())
+                    limiter.terminate()
+                    await asyncio.sleep(DRAIN_S)
+                    assert (await read_until(sock, b"", END)).endswith(TAIL_ANSWER)
+                    assert await limiter.ended() == 0
+
+    run(test())
+
+
+def test_a_drain_of_the_standalone_limiter_waits_until_an_answer_is_written(tmp_path: Path) -> None:
+    """Guards against the standalone limiter exiting while part of a response is in its own write buffer."""
+
+    async def test() -> None:
+        async with backend(answer_with_tail) as server, standalone(tmp_path, config(server.address)) as rig:
+            with await connect("{}:{}".format(*rig.limiter.address), 4096) as sock:
+                await until(lambda: bool(rig.limiter.relay.connections))
+                (connection,) = rig.limiter.relay.connections
+                connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await asyncio.get_running_loop().sock_sendall(sock, request())
+                await until(lambda: connection._has_responded)
+                assert connection._transport and connection._transport.get_write_buffer_size() > 0
+                draining = asyncio.create_task(rig.limiter.drain())
+                await asyncio.sleep(DRAIN_S)
+                assert not draining.done()
+                assert (await read_until(sock, b"", END)).endswith(TAIL_ANSWER)
+                await draining
+
+    run(test())
+
+
 SERVER_TIMEOUT_S = 1.5
 # The send buffer's third takes longer than the time limit, a segment of the loopback (64 kB) much less.
 SERVER_BYTES_PER_S = 300_000
