Platform: processes of one limiter claim the requests that they send, both ways

Cause: open ids were passed as state: at two moments, from old to new only, to one process. Ids that the old process took later, all ids of the new one, and those between the first and a third process were not known; a refused copy was told as the end of the request itself; and two requests at the same moment would pass any message. Ruled out: the table within one process (TROUBLE=0 holds).

Change: a process claims a Req-Id before it sends, by a record lock on a file that all its processes open. The kernel decides between them, for as long as they live. Versions that claim nothing are met as before. The document of the handover has one more optional field. Messages that tell or ask were not chosen: a time remains in which neither knows, or each request waits for a process that may be held up.

--- a/basaltpoint/core/table.py
+++ b/basaltpoint/core/table.py
@@ -196,11 +196,13 @@
         self._effects: list[Effect] = []
 
     # --- Events -------------------------------------------------------------------------------
-    def admit(self, now: float, request: NewRequest) -> tuple[int, list[Effect]]:
+    def admit(
+        self, now: float, request: NewRequest, is_open_elsewhere: bool = False
+    ) -> tuple[int, list[Effect]]:
         """Admits a request, which then gets one reply before its client's deadline; returns its number.
 
-        It replies at once if too many requests are open, if one with the same key is open, or if the final
-        deadline has passed.
+        It replies at once if too many requests are open, if one with the same key is open, here or in another
+        process of this limiter (`is_open_elsewhere`), or if the final deadline has passed.
         """
         self._last_request += 1
         class_number, plan, customer, units, limiter_count, client_wait_ms, reply_margin_ms, pool, key = (
@@ -209,7 +211,7 @@
         ident, counts = self._last_request, self.figures.counts_of(class_number)
         if self.open_count >= self.max_open or now >= self.final_deadline_ms:
             return ident, [_count_reply(counts, Reply(ident, RequestResult.BUSY))]
-        if key and key in self.open_keys:
+        if key and (is_open_elsewhere or key in self.open_keys):
             # If it were forwarded, a server could not tell it from a repeated attempt of the open request.
             return ident, [_count_reply(counts, Reply(ident, RequestResult.DUPLICATE))]
         deadline = now + max(client_wait_ms - reply_margin_ms, client_wait_ms / 2)
--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -16,7 +16,7 @@
 
 from basaltpoint.config.address import Address, ConfigError, inherited_listening_socket
 from basaltpoint.daemon import signals
-from basaltpoint.daemon.platform_upgrade import PlatformUpgrade, read_predecessor_state
+from basaltpoint.daemon.platform_upgrade import PlatformUpgrade, open_claims, read_predecessor_state
 from basaltpoint.fronts.control.console import Console
 from basaltpoint.fronts.platform import config as configuration
 from basaltpoint.fronts.platform.clients import BACKLOG, ClientConnections
@@ -81,6 +81,8 @@
         yield "ok"
         yield from limiter.guard.metric_lines()
         yield from clients.close_guard.metric_lines()
+        if limiter.claims:
+            yield from limiter.claims.metric_lines()
         yield "eof"
 
     try:
@@ -121,7 +123,8 @@
     confirm_within_s = config.settings.discovery_confirm_ms / 1000 if config.settings.must_subscribe else None
     lease = MembershipLease(time.monotonic(), grace_s, confirm_within_s)
     log.info("server lists are %s", "pushed" if confirm_within_s is None else "requested")
-    limiter = Limiter(config, read_predecessor_state(connected[1]) if connected else None, lease)
+    claims = open_claims(path) if path else None
+    limiter = Limiter(config, read_predecessor_state(connected[1]) if connected else None, lease, claims)
     max_connections = int((config.sockets - RESERVED_DESCRIPTORS) * (1 - SERVER_SOCKET_FRACTION))
     clients = ClientConnections(
         limiter,
@@ -157,6 +160,8 @@
     if upgrade:
         upgrade.close()
     limiter.close()
+    if claims:
+        claims.close()
 
 
 def main() -> int:
--- a/basaltpoint/daemon/platform_upgrade.py
+++ b/basaltpoint/daemon/platform_upgrade.py
@@ -10,6 +10,7 @@
 from basaltpoint.fronts.platform.clients import ClientConnections
 from basaltpoint.fronts.platform.limiter import Limiter
 from basaltpoint.handover import platform_state, state
+from basaltpoint.handover.id_claims import RequestIdClaims, claims_path
 from basaltpoint.handover.link import HandoverLink, SuccessorHandler, SuccessorListener
 
 log = logging.getLogger(__name__)
@@ -17,6 +18,15 @@
 FLUSH_TIMEOUT_S = 0.3  # for queued data to reach the successor once everything else is done
 
 
+def open_claims(handover_path: str) -> RequestIdClaims | None:
+    """Opens the file of claimed Req-Ids; logs the reason and returns None if that is impossible."""
+    try:
+        return RequestIdClaims(claims_path(handover_path))
+    except OSError as error:
+        log.error("open requests can't be shared with another process: %s", error)
+        return None
+
+
 def read_predecessor_state(text: bytes) -> platform_state.PlatformState | None:
     """Decodes the predecessor's state; logs the reason and returns None if it can't be taken over."""
     try:
@@ -51,8 +61,14 @@
         self._has_final_state = False
         self._path = path
         self._listener: SuccessorListener | None = None
+        self._update_claims()
         self._listen_for_successor()
 
+    def _update_claims(self) -> None:
+        """Records whether another process of this limiter may run."""
+        if claims := self._limiter.claims:
+            claims.is_shared = self._predecessor is not None or self._successor is not None
+
     def _listen_for_successor(self) -> None:
         if self._listener:
             self._listener.close()
@@ -74,12 +90,13 @@
             decision_module, inherited.module.get("customers"), now, self._started_ms
         ):
             log.warning("%d customers in the predecessor's state could not be read", unreadable)
-        self._limiter.reserve_ids(inherited.open_req_ids)
+        self._limiter.reserve_ids(inherited)
         log.info("took over from the predecessor, which has %d open requests", len(inherited.open_req_ids))
 
     def predecessor_disconnected(self) -> None:
         """Handles the end of the predecessor: this process serves alone."""
         self._predecessor = None
+        self._update_claims()
         self._limiter.release_all_ids()
         self._clients.connection_share = 1.0 if self._successor is None else state.SHARED_FRACTION
         # No other process accepts connections now, so this one does even if the server list is unconfirmed.
@@ -93,12 +110,14 @@
         if self._successor:
             self._successor.close()
         self._successor = HandoverLink(sock, SuccessorHandler(self.successor_disconnected))
+        self._update_claims()
         self._clients.connection_share = state.SHARED_FRACTION
         self._successor.send_document(platform_state.encode(self._limiter.state_for_successor(halved=True)))
 
     def successor_disconnected(self) -> None:
         """Handles the end of the successor; unless this process drains, it serves alone again."""
         self._successor = None
+        self._update_claims()
         if not self._clients.draining:
             log.warning("the successor ended; this process continues alone")
             self._listen_for_successor()  # the successor had taken the socket's path over
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -7,7 +7,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 from time import monotonic
 from typing import Any, NamedTuple
@@ -29,6 +29,7 @@
 from basaltpoint.fronts.platform.request_exchange import ClientSide, RequestExchange
 from basaltpoint.fronts.shell import CLOCK_START_MS, MIN_WAIT_MS, RESPONSE_MARGIN_MS, RequestTableDriver
 from basaltpoint.handover import state
+from basaltpoint.handover.id_claims import RequestIdClaims
 from basaltpoint.handover.platform_state import PlatformState, import_module_state
 from basaltpoint.interface import Status
 from basaltpoint.membership.hosts import HostList, parse_list
@@ -77,11 +78,16 @@
     """Connects the request table to the clients' requests and the servers' connections."""
 
     def __init__(
-        self, config: Config, inherited: PlatformState | None = None, lease: MembershipLease | None = None
+        self,
+        config: Config,
+        inherited: PlatformState | None = None,
+        lease: MembershipLease | None = None,
+        claims: RequestIdClaims | None = None,
     ) -> None:
         """`inherited`: the state of the predecessor, if any.
 
-        `lease`: of the list of servers; without it the list needs no confirmation.
+        `lease`: of the list of servers; without it the list needs no confirmation. `claims`: the Req-Ids that
+        are open in any process of this limiter; None if it has no other process.
         """
         self._settings = config.settings
         self.decision_module = DecisionModule(config.settings, config.seed)
@@ -110,8 +116,9 @@
         )
         self._exchanges: dict[int, RequestExchange] = {}  # by number, of requests without a response
         self._attempts: dict[int, BufferedAttempt] = {}  # the outstanding one, by request number
+        self.claims = claims
         self.on_request_ended: Callable[[bytes], None] | None = None  # receives its Req-Id
-        self._reserved: set[bytes] = set()  # Req-Ids of the predecessor's open requests
+        self._reserved: set[bytes] = set()  # open Req-Ids of a predecessor that does not claim them
         self._lease = lease
         self._lease_until = math.inf  # monotonic seconds
         self.list_confirmed = asyncio.Event()  # the list was confirmed, or discovery is unreachable
@@ -143,7 +150,7 @@
             log.warning("not taken over: %s", problem)
         self.decision_module.started_ms = now  # unknown customers may have used up their quota
         state.share_limits(self.decision_module, now)  # as the predecessor did after writing this state
-        self.reserve_ids(inherited.open_req_ids)
+        self.reserve_ids(inherited)
 
     def state_for_successor(self, halved: bool) -> PlatformState:
         """Returns the state for the successor; `halved`: from now on each process uses half of the limits."""
@@ -160,11 +167,14 @@
             dict(self.listed_servers.numbers),
             names,
             module,
+            self.claims.file_identity if self.claims else "",
         )
 
-    def reserve_ids(self, req_ids: Iterable[bytes]) -> None:
-        """Rejects requests with these Req-Ids as duplicates: another process handles them."""
-        fresh = set(req_ids) - self.table.open_keys
+    def reserve_ids(self, inherited: PlatformState) -> None:
+        """Rejects requests with the predecessor's open Req-Ids as duplicates, unless it claims them."""
+        if self.claims and inherited.claims_file == self.claims.file_identity:
+            return
+        fresh = set(inherited.open_req_ids) - self.table.open_keys
         self._reserved |= fresh
         self.table.open_keys |= fresh
 
@@ -214,6 +224,7 @@
         exchange.request_number, effects = self.table.admit(
             self.now(),
             NewRequest(cls, plan, customer, units, customer_limiters, wait_ms, RESPONSE_MARGIN_MS, 0, name),
+            is_open_elsewhere=not self._claim(name),
         )
         self._exchanges[exchange.request_number] = exchange
         if trace.enabled:
@@ -227,6 +238,23 @@
         self.apply_effects(effects)
         return exchange
 
+    def _claim(self, req_id: bytes) -> bool:
+        """Claims a Req-Id that is not open here; returns False if it is open in another process."""
+        if self.claims is None or req_id in self.table.open_keys or self.claims.claim(req_id):
+            return True
+        if trace.enabled:
+            trace.event("id %s is open in another process of this limiter", req_id)
+        return False
+
+    def _release(self, req_id: bytes) -> None:
+        """Releases a Req-Id after the end of a request, unless another request of that id is open here."""
+        if req_id in self.table.open_keys:
+            return
+        if self.claims:
+            self.claims.release(req_id)
+        if self.on_request_ended:
+            self.on_request_ended(req_id)
+
     def abandon(self, exchange: RequestExchange) -> None:
         """Ends a request whose client has disconnected or whose connection is closed."""
         if self._exchanges.pop(exchange.request_number, None):
@@ -234,6 +262,7 @@
                 trace.event("request %d: its client has disconnected", exchange.request_number)
             exchange.client_disconnected()
             self.apply_effects(self.table.client_disconnected(self.now(), exchange.request_number))
+            self._release(exchange.request_id)
             self._cancel_unwritten(exchange.request_number)
 
     def _cancel_unwritten(self, request_number: int) -> None:
@@ -299,10 +328,9 @@
                         trace.event(
                             "request %d ends %s, why %s", effect.request, effect.result.value, effect.reason
                         )
+                    self._release(exchange.request_id)
                     exchange.finish(effect)
                     self._cancel_unwritten(effect.request)
-                    if self.on_request_ended:
-                        self.on_request_ended(exchange.request_id)
             case CancelAttempt():
                 if attempt := self._attempts.get(effect.request):
                     attempt.cancel()
--- a/basaltpoint/handover/platform_state.py
+++ b/basaltpoint/handover/platform_state.py
@@ -30,6 +30,7 @@
     time of the decision module's clock minus Unix time. `servers` is the last list of servers in discovery's
     form, `server_numbers` maps the servers to their numbers in the decision module. `open_req_ids` are the
     Req-Ids of requests that the predecessor still handles, `module` is the decision module's exported state.
+    `claims_file` identifies the file in which the predecessor claims Req-Ids; empty if it does not.
     """
 
     origin_s: float
@@ -38,6 +39,7 @@
     server_numbers: dict[str, int]
     open_req_ids: list[bytes] = field(default_factory=list)
     module: dict[str, Any] = field(default_factory=dict)
+    claims_file: str = ""
 
 
 def encode(snapshot: PlatformState) -> bytes:
@@ -50,6 +52,7 @@
             "numbers": snapshot.server_numbers,
             "names": [name.decode("latin-1") for name in snapshot.open_req_ids],
             "module": snapshot.module,
+            "claims_file": snapshot.claims_file,
         }
     ).encode()
 
@@ -87,6 +90,7 @@
         numbers,
         [name.encode("latin-1", "replace") for name in names],
         module if isinstance(module, dict) else {},
+        str(raw.get("claims_file", "")),
     )
 
 
