Platform: ceilings hold during an upgrade, also after the last state and for new customers

What callers saw: none told of it. Found by looking for what else one process decides alone while its successor lives: a customer of 20 units and 10 a second got 33 requests through where 21.6 were allowed, in a forced order.

Cause: with its last state the old process passes all that is left of a ceiling, but went on drawing on its half for requests of connections that it still had. And halves were set for the customers that were known when the successor connected: of one that came later, each process had a whole ceiling. Ruled out: the merge itself (its property test holds).

Change: after its last state the old process draws on no ceiling, as the standalone limiter does already; a new customer gets the process's share of its ceiling.

--- a/basaltpoint/daemon/platform_upgrade.py
+++ b/basaltpoint/daemon/platform_upgrade.py
@@ -112,7 +112,9 @@
         self._successor = HandoverLink(sock, SuccessorHandler(self.successor_disconnected))
         self._update_claims()
         self._clients.connection_share = state.SHARED_FRACTION
-        self._successor.send_document(platform_state.encode(self._limiter.state_for_successor(halved=True)))
+        self._successor.send_document(
+            platform_state.encode(self._limiter.state_for_successor(final_for_ms=None))
+        )
 
     def successor_disconnected(self) -> None:
         """Handles the end of the successor; unless this process drains, it serves alone again."""
@@ -129,7 +131,8 @@
         if (successor := self._successor) is None:
             return
         self._clients.stop_listening()
-        successor.send_document(platform_state.encode(self._limiter.state_for_successor(halved=False)))
+        final_state = self._limiter.state_for_successor(self._clients.sigkill_after_s * 1000)
+        successor.send_document(platform_state.encode(final_state))
         self._limiter.on_request_ended = successor.send_request_completed
         await self._clients.hand_over(successor.send_connection)
         end = time.monotonic() + FLUSH_TIMEOUT_S
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -76,7 +76,7 @@
         self.draining = False  # /up reports that no new clients are welcome
         self.closing = False  # each connection closes after its response
         self._keep_open_s = keep_open_s(settings)
-        self._sigkill_after_s = sigkill_after_s(settings)
+        self.sigkill_after_s = sigkill_after_s(settings)  # this process ends so long after SIGTERM
         self.close_guard = CloseGuard()
         self.idle_connections: dict[ClientConnection, None] = {}  # longest idle first
         self.receiving: dict[ClientConnection, None] = {}  # receiving a request, longest first
@@ -214,8 +214,8 @@
         """Starts the drain; returns the time by which all requests have their response, monotonic seconds."""
         if not self.draining:
             self.draining, self._drained_at = True, monotonic()
-            self.limiter.shorten_deadlines(self._drained_at + self._sigkill_after_s - SIGKILL_MARGIN_S)
-        return self._drained_at + self._sigkill_after_s - SIGKILL_MARGIN_S
+            self.limiter.shorten_deadlines(self._drained_at + self.sigkill_after_s - SIGKILL_MARGIN_S)
+        return self._drained_at + self.sigkill_after_s - SIGKILL_MARGIN_S
 
     async def drain(self) -> None:
         """Listens while connections still arrive, then waits until all requests have their response."""
@@ -245,7 +245,7 @@
             self._close_idle(monotonic() - FIRST_REQUEST_GRACE_S)
             await asyncio.sleep(0.01)
         # Data still unread was sent in time: its requests are read, and refused as too late.
-        flushed = min(monotonic() + FLUSH_S, start + self._sigkill_after_s - 2 * FINAL_WRITE_S)
+        flushed = min(monotonic() + FLUSH_S, start + self.sigkill_after_s - 2 * FINAL_WRITE_S)
         while self._open and monotonic() < flushed:
             self._close_idle(monotonic())
             await asyncio.sleep(0.01)
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -152,14 +152,20 @@
         state.share_limits(self.decision_module, now)  # as the predecessor did after writing this state
         self.reserve_ids(inherited)
 
-    def state_for_successor(self, halved: bool) -> PlatformState:
-        """Returns the state for the successor; `halved`: from now on each process uses half of the limits."""
+    def state_for_successor(self, final_for_ms: float | None) -> PlatformState:
+        """Returns the state for the successor.
+
+        `final_for_ms`: how long this process may run after its final state, in which the successor gets the
+        whole limits; None: both serve on, and from now on each uses half of the limits.
+        """
         self.listed_servers.add_all_new()
         now = self.now()
         names = sorted(self.table.open_keys - self._reserved)
         module = state.export_state(self.decision_module, now)
-        if halved:
+        if final_for_ms is None:
             state.share_limits(self.decision_module, now)
+        else:
+            state.exhaust_ceilings(self.decision_module, now, final_for_ms)
         return PlatformState(
             self._clock_origin_s,
             self.listed_servers.starts.offset_ms,
--- a/basaltpoint/handover/state.py
+++ b/basaltpoint/handover/state.py
@@ -214,6 +214,7 @@
 # --- Two processes at once ----------------------------------------------------------------------
 def share_limits(decision_module: DecisionModule, now: float) -> None:
     """Halves what this process may still use, as another process has a copy of its state from now on."""
+    decision_module.ceiling_share = SHARED_FRACTION
     for customer in decision_module.customers.values():
         ceiling, plan = customer.ceiling, customer.plan
         ceiling.level = ceiling.refill(now) * SHARED_FRACTION
@@ -230,6 +231,7 @@
 
     The levels are not raised, as the other process may have drawn its half.
     """
+    decision_module.ceiling_share = 1.0
     for customer in decision_module.customers.values():
         ceiling, plan = customer.ceiling, customer.plan
         ceiling.refill(now)
@@ -241,6 +243,7 @@
 
 def exhaust_ceilings(decision_module: DecisionModule, now: float, for_ms: float) -> None:
     """Prevents draws on any ceiling for `for_ms`, as the successor has the whole of each from now on."""
+    decision_module.ceiling_share = 0.0
     for customer in decision_module.customers.values():
         ceiling = customer.ceiling
         if math.isfinite(ceiling.depth):
--- a/basaltpoint/policy/decision_module.py
+++ b/basaltpoint/policy/decision_module.py
@@ -57,6 +57,7 @@
         self.meter_clock = MeterClock(settings.meter_period_ms, INF)
         self.requests: dict[int, Request] = {}
         self.started_ms, self.last_cleanup_ms = INF, 0.0
+        self.ceiling_share = 1.0  # of new customers' ceilings; other processes of this limiter have the rest
         self.lease_until_ms = INF  # the list of servers may be used until then
         self.actions: list[api.Action] = []
         self.class_waits: dict[str, deque[float]] = {}
@@ -210,7 +211,7 @@
         """Returns the customer of an arrival and moves it to the end of the order of last requests."""
         customer, plan = self.customers.pop(event.customer, None), self.settings.plans[event.plan]
         if customer is None:
-            customer = Customer(plan, event.customer_limiters, now, self.started_ms)
+            customer = Customer(plan, event.customer_limiters, now, self.started_ms, self.ceiling_share)
             if self.restored_balances:
                 self._restore_balance(event.customer, customer)
         elif self.settings.is_only_limiter and customer.plan is not plan:
--- a/basaltpoint/policy/quota.py
+++ b/basaltpoint/policy/quota.py
@@ -127,8 +127,14 @@
     # fmt: on
 
     def __init__(
-        self, plan: api.Plan, limiter_count: int, now: float, limiter_started_ms: float = 0.0
+        self,
+        plan: api.Plan,
+        limiter_count: int,
+        now: float,
+        limiter_started_ms: float = 0.0,
+        ceiling_share: float = 1.0,
     ) -> None:
+        """`ceiling_share`: the fraction of this limiter's ceiling that this process may use."""
         self.plan = plan
         # Net loss per unit sent beyond the quota, as a fraction of its worth.
         self.excess_cost = min(1.0, max(0.0, plan.excess_cost - plan.excess_worth))
@@ -139,7 +145,8 @@
         self.asked, self.asked_at, self.born = 0.0, now, limiter_started_ms
         # This limiter's fraction of the ceiling. It was empty at the limiter's start, as its predecessor may
         # have drawn all of it, and has been refilled since: no request of this customer was sent in between.
-        rate, depth = plan.ceiling_rate / self.limiter_count, plan.ceiling_depth / self.limiter_count
+        share = ceiling_share / self.limiter_count
+        rate, depth = plan.ceiling_rate * share, plan.ceiling_depth * share
         self.ceiling = TokenBucket(rate, depth, 0.0, min(limiter_started_ms, now))
         # The local share of the quota, reduced by own draws alone: requests within it are always admitted.
         self.local_bucket = TokenBucket(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -145,6 +145,28 @@
         assert sent <= 10.0 + 5.0 * (now - begin) / 1000.0 + 1e-6
 
 
+@given(st.integers(0, 2**32))
+@settings(max_examples=40, deadline=None)
+def test_a_customer_that_is_new_during_an_upgrade_has_one_ceiling(seed: int) -> None:
+    """Guards against both processes granting the whole ceiling of a customer that neither knew before."""
+    rng = random.Random(seed)
+    old, new = decision_module(1), decision_module(2)
+    now = 1e9
+    list_servers(old, now)
+    list_servers(new, now)
+    now += 10_000.0
+    start_successor(old, new, now)
+    begin, since, sent, handed = now, now, 0, rng.randrange(10, 60)
+    for n in range(120):
+        now += rng.uniform(1, 20)
+        if n == handed:
+            merge_into_successor(old, new, now, since)
+            state.exhaust_ceilings(old, now, 10_000.0)
+        sent += ask(rng.choice([old, new]), now, n + 1)
+        sent += ask(old, now, n + 1000, customer=8) if n >= handed else 0  # known to no other process
+        assert sent <= 10.0 + 5.0 * (now - begin) / 1000.0 + 1e-6
+
+
 def test_without_shared_limits_both_processes_exceed_the_ceiling() -> None:
     """Shows what share_limits prevents: two processes with full limits together exceed the ceiling."""
     old, new = decision_module(1), decision_module(2)
@@ -456,6 +478,38 @@
             made.listener.close()
 
 
+def test_a_predecessor_that_drains_draws_no_more_on_a_ceiling() -> None:
+    """Guards against units that were handed to the successor being granted by the predecessor, too."""
+    rate, depth, count = 30.0, 60.0, 30  # of three limiters
+
+    async def test() -> None:
+        async with backend(echo) as server, platform(server) as platform_:
+            ceiling = {"capRate": rate, "neverOverDepth": depth}
+            contracts = [{"name": "basic", "rate": 1000.0, "mostAtOnce": 2000.0, **ceiling}]
+            platform_.raw["settings"] = {**SETTINGS, "contracts": contracts}
+            old = await platform_.start()
+            await asyncio.sleep(depth / rate)  # a ceiling is empty at the start of a limiter
+            begun = [(await platform_.connect(), message("fix", f"old-{n}")) for n in range(count)]
+            new = await platform_.start()
+            for client, raw in begun:
+                client.send(raw[:1])  # the connection stays where it is
+            await asyncio.sleep(0.1)
+            start = asyncio.get_running_loop().time()
+            ending = asyncio.create_task(old.end())
+            await until(lambda: "took over" in new.log.read_text())
+            client = await platform_.connect()
+            codes = [(await client.ask(message("fix", f"new-{n}"))).code for n in range(count)]
+            for begun_client, raw in begun:
+                begun_client.send(raw[1:])
+            codes += [(await begun_client.answer()).code for begun_client, _ in begun]
+            allowed = (depth + rate * (asyncio.get_running_loop().time() - start)) / 3 + 1
+            assert 5 < codes.count(200) <= allowed
+            assert codes.count(200) + codes.count(429) == 2 * count
+            assert await ending == 0
+
+    run(test())
+
+
 def test_client_connections_are_handed_over_twice_in_succession() -> None:
     """Open connections are served by the newest process without interruption; the older ones exit with 0."""
 
--- a/tests/test_moments_ends.py
+++ b/tests/test_moments_ends.py
@@ -67,7 +67,7 @@
             assert answer.code == (502 if cls == "fix" else 429)
             await drain
             assert rig.limiter.open_requests == 0
-            assert rig.clients._sigkill_after_s == pytest.approx(0.9)
+            assert rig.clients.sigkill_after_s == pytest.approx(0.9)
 
     run(test())
 
@@ -205,7 +205,7 @@
             [half] = rig.clients.receiving
             half.connected_at = half.request_begun_at = 1e9  # it is still being received
             await rig.clients.drain()
-            assert virtual.now < 1000.0 + rig.clients._sigkill_after_s
+            assert virtual.now < 1000.0 + rig.clients.sigkill_after_s
 
     run(test())
 
