Platform: two processes of one limiter share memory for bodies and server connections

What callers saw: none told of it. Found by looking for what one process decides alone while its successor lives: memory and descriptors count together, and in a forced order 2.04 MB of bodies were held where 1.05 MB are allowed, 20 connections opened where 16 are.

Cause: only the number of clients' connections was halved. Ruled out: the successor's start (both processes have the limits of the same file).

Change: PlatformUpgrade divides all of it in one place, whenever another process comes or goes; what is held already stays.

--- a/basaltpoint/daemon/platform_upgrade.py
+++ b/basaltpoint/daemon/platform_upgrade.py
@@ -56,18 +56,21 @@
         self._predecessor = (
             HandoverLink(predecessor_socket, _PredecessorHandler(self)) if predecessor_socket else None
         )
-        clients.connection_share = state.SHARED_FRACTION if predecessor_socket else 1.0
         self._successor: HandoverLink | None = None
         self._has_final_state = False
         self._path = path
         self._listener: SuccessorListener | None = None
-        self._update_claims()
+        self._share_resources()
         self._listen_for_successor()
 
-    def _update_claims(self) -> None:
-        """Records whether another process of this limiter may run."""
+    def _share_resources(self) -> None:
+        """Divides memory and descriptors, which count for all processes of a limiter together."""
+        is_shared = self._predecessor is not None or self._successor is not None
+        share = state.SHARED_FRACTION if is_shared else 1.0
+        self._clients.limit_share = share
+        self._limiter.limit_server_connections(share)
         if claims := self._limiter.claims:
-            claims.is_shared = self._predecessor is not None or self._successor is not None
+            claims.is_shared = is_shared
 
     def _listen_for_successor(self) -> None:
         if self._listener:
@@ -96,9 +99,8 @@
     def predecessor_disconnected(self) -> None:
         """Handles the end of the predecessor: this process serves alone."""
         self._predecessor = None
-        self._update_claims()
+        self._share_resources()
         self._limiter.release_all_ids()
-        self._clients.connection_share = 1.0 if self._successor is None else state.SHARED_FRACTION
         # No other process accepts connections now, so this one does even if the server list is unconfirmed.
         self._clients.listen()
         if not self._has_final_state:
@@ -110,8 +112,7 @@
         if self._successor:
             self._successor.close()
         self._successor = HandoverLink(sock, SuccessorHandler(self.successor_disconnected))
-        self._update_claims()
-        self._clients.connection_share = state.SHARED_FRACTION
+        self._share_resources()
         self._successor.send_document(
             platform_state.encode(self._limiter.state_for_successor(final_for_ms=None))
         )
@@ -119,11 +120,10 @@
     def successor_disconnected(self) -> None:
         """Handles the end of the successor; unless this process drains, it serves alone again."""
         self._successor = None
-        self._update_claims()
+        self._share_resources()
         if not self._clients.draining:
             log.warning("the successor ended; this process continues alone")
             self._listen_for_successor()  # the successor had taken the socket's path over
-            self._clients.connection_share = 1.0
             state.restore_full_limits(self._limiter.decision_module, self._limiter.now())
 
     async def hand_over(self) -> None:
--- a/basaltpoint/fronts/platform/clients.py
+++ b/basaltpoint/fronts/platform/clients.py
@@ -83,7 +83,7 @@
         self._open: set[ClientConnection] = set()
         self._pending = PendingConnections()
         self._max_connections = max_connections
-        self.connection_share = 1.0  # of the limit; another process has the rest
+        self.limit_share = 1.0  # of connections and bodies; another process has the rest
         self._send_to_successor: Callable[[int], bool] | None = None  # passes a descriptor on
         self._max_body_bytes = max_body_bytes
         self._body_bytes = 0  # of bodies that are received or wait for their response
@@ -111,7 +111,7 @@
         """
         return (
             not self.closing
-            and len(self._open) <= self._max_connections * self.connection_share * KEEP_ALIVE_FRACTION
+            and len(self._open) <= self._max_connections * self.limit_share * KEEP_ALIVE_FRACTION
         )
 
     @property
@@ -126,7 +126,7 @@
         self._acceptor.stop()
 
     def _has_room(self) -> bool:
-        return len(self._open) < self._max_connections * self.connection_share
+        return len(self._open) < self._max_connections * self.limit_share
 
     def adopt(self, sock: socket.socket, unread_since: float | None = None) -> None:
         """Serves a connection that was accepted, here or by another process.
@@ -167,7 +167,7 @@
 
     def reserve_body(self, size: int) -> bool:
         """Accounts for buffered bytes of a body; returns False if they exceed the limit."""
-        if self._body_bytes + size > self._max_body_bytes:
+        if self._body_bytes + size > self._max_body_bytes * self.limit_share:
             return False
         self._body_bytes += size
         return True
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -184,6 +184,10 @@
         self._reserved |= fresh
         self.table.open_keys |= fresh
 
+    def limit_server_connections(self, share: float) -> None:
+        """Limits connections to servers to a share of the maximum; those that are open stay."""
+        self._servers.connection_share = share
+
     def release_id(self, req_id: bytes) -> None:
         if req_id in self._reserved:
             self._reserved.discard(req_id)
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -207,6 +207,7 @@
         self._servers: dict[int, UpstreamServer] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self._open_connections = 0
+        self.connection_share = 1.0  # of the maximum; another process has the rest
         self._ready_servers = 0
         self.guard = SendGuard()
 
@@ -286,7 +287,8 @@
         if server.max_connections and server.open_connections >= server.max_connections:
             attempt.end(AttemptResult(Status.FULL))  # all are busy: idle ones were tried before
             return
-        if self._open_connections >= self._max_connections and not self._close_oldest_idle():
+        max_connections = self._max_connections * self.connection_share
+        if self._open_connections >= max_connections and not self._close_oldest_idle():
             log.warning(
                 "can't connect to %s: all %d connections in use", server.address, self._open_connections
             )
