Both fronts: unread bytes of a body count as progress of its client

What callers saw: 408 within a body that the client sent without a long pause, if the process was held up for longer than the client's time for the next byte.

Ruled out: the time for the whole body, which is far from over in these cases.

Change: before a client is judged by a pause, its socket is looked at.

--- a/basaltpoint/fronts/http/connection.py
+++ b/basaltpoint/fronts/http/connection.py
@@ -145,10 +145,10 @@
         """Whether this process still holds part of a response, which its end would lose."""
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
-    @property
-    def awaits_body(self) -> bool:
-        """Whether the client has yet to send a body and reading is not paused."""
-        return self._receiving is not None and not self._read_paused and not self._input_closed
+    def is_body_stalled(self, limit: float) -> bool:
+        """Whether the client has yet to send a body, and nothing has come since `limit`, read or unread."""
+        awaits_body = self._receiving is not None and not self._read_paused and not self._input_closed
+        return awaits_body and self.last_activity_at < limit and peek(self._sock) is not UnreadData.BYTES
 
     def pause_writing(self) -> None:
         self._send_progress = SendProgress(self._sock, monotonic())
--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -357,7 +357,7 @@
                 connection.reject_timeout("the head does not come whole")
             elif connection.reset_if_unread(now, clients.stall_s):
                 continue
-            elif connection.awaits_body and now - connection.last_activity_at > clients.stall_s:
+            elif connection.is_body_stalled(now - clients.stall_s):
                 connection.reject_timeout("the body does not come whole")
             elif now - connection.last_activity_at > clients.idle_s and connection.can_close(now):
                 connection.close()
--- a/basaltpoint/fronts/platform/client_connection.py
+++ b/basaltpoint/fronts/platform/client_connection.py
@@ -251,14 +251,14 @@
         return since + (self._received_bytes / MIN_BODY_BYTES_PER_S if self._has_headers else 0.0) < limit
 
     def is_body_stalled(self, limit: float) -> bool:
-        """Returns whether a body has begun and nothing of it was received since `limit`."""
+        """Returns whether a body has begun and nothing of it has come since `limit`, read or unread."""
         waits = (
             self.request_begun_at is not None
             and self._has_headers
             and not self._ignores_input
             and not self._is_read_paused
         )
-        return waits and self._last_body_at < limit
+        return waits and self._last_body_at < limit and peek(self._sock) is not UnreadData.BYTES
 
     def abort_if_unread(self, now: float) -> None:
         """Aborts the connection if its client has stopped reading its response; `now`: monotonic seconds."""
--- a/tests/limiterprocs.py
+++ b/tests/limiterprocs.py
@@ -33,7 +33,7 @@
         self._sockets = sockets
         self._program = ["-c", changes + START] if changes else ["-m", "basaltpoint"]
         self._environment = {"GW_TRACE": "1", **environment}
-        self._process: asyncio.subprocess.Process | None = None
+        self.process: asyncio.subprocess.Process | None = None
 
     async def start(self, discovery: tuple[str, int], known: dict[str, Any], **settings: Any) -> None:
         raw = document(self.address)
@@ -45,24 +45,24 @@
         environment = {**os.environ, **self._environment, "GW_CONFIG": str(file)}
         self.started_at = monotonic()
         with self.log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
+            self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *self._program, cwd=ROOT, env=environment, stderr=log
             )
 
     async def kill(self) -> None:
-        assert self._process
+        assert self.process
         with contextlib.suppress(ProcessLookupError):
-            self._process.send_signal(signal.SIGKILL)
-        await self._process.wait()
+            self.process.send_signal(signal.SIGKILL)
+        await self.process.wait()
 
     def terminate(self) -> None:
-        assert self._process
-        self._process.send_signal(signal.SIGTERM)
+        assert self.process
+        self.process.send_signal(signal.SIGTERM)
 
     async def ended(self) -> int:
         """Waits until the process has ended; returns its exit code."""
-        assert self._process
-        return await self._process.wait()
+        assert self.process
+        return await self.process.wait()
 
     async def connect(self) -> Client:
         """Connects as soon as the process listens."""
--- /dev/null
+++ b/tests/test_held_up_process.py
@@ -0,0 +1,79 @@
+"""A process that was held up judges clients by what has come meanwhile, not by what it has read."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+from sockets import Request, backend, echo, message, run, until
+from standalone import config, request, standalone
+from test_slow_readers import limiter_process
+
+STALL_S = 0.5
+HOLD_UP_S = 2 * STALL_S
+# Before a sweep the process stands still, if the file exists; it removes the file first.
+HOLD_UP_BEFORE_SWEEP = """
+import os, time
+from basaltpoint.fronts.platform import clients
+clients.BODY_IDLE_TIMEOUT_S = {stall_s}
+sweep = clients.ClientConnections.sweep
+
+def sweep_late(self):
+    if os.path.exists({path!r}):
+        os.unlink({path!r})
+        time.sleep({hold_up_s})
+    sweep(self)
+
+clients.ClientConnections.sweep = sweep_late
+"""
+
+
+@pytest.mark.parametrize("size", [20_000, 100_000], ids=["buffered", "streamed"])
+def test_a_body_that_came_while_the_process_was_held_up_is_read(tmp_path: Path, size: int) -> None:
+    """Guards against a client being rejected for a pause within a body that was the limiter's own."""
+    file = tmp_path / "hold-up"
+    changes = HOLD_UP_BEFORE_SWEEP.format(stall_s=STALL_S, hold_up_s=HOLD_UP_S, path=str(file))
+
+    async def test() -> None:
+        async with backend(echo) as server, limiter_process(tmp_path, server, changes) as limiter:
+            client = await limiter.connect()
+            raw = message("upload", "one", b"x" * size)
+            client.send(raw[:-5000])
+            file.touch()
+            await until(lambda: not file.exists())
+            client.send(raw[-5000:-1000])  # the rest follows, so that progress counts, not completeness
+            await asyncio.sleep(HOLD_UP_S + STALL_S / 2)
+            client.send(raw[-1000:])
+            assert (await client.answer()).code == 200
+            client.close()
+
+    run(test())
+
+
+async def answer_plainly(received: Request) -> None:
+    received.reply(body=b"done")
+
+
+def test_a_body_that_came_while_the_standalone_process_was_held_up_is_read(tmp_path: Path) -> None:
+    """Guards against the standalone front's `stall_s` counting the time in which the process stood still."""
+
+    async def test() -> None:
+        text = f"[clients]\nstall_s = {STALL_S}\n"
+        async with backend(answer_plainly) as server:
+            async with standalone(tmp_path, config(server.address, extra=text)) as rig:
+                client = await rig.connect()
+                raw = request("POST", body=b"x" * 20_000)
+                client.send(raw[:-5000])
+                relay = rig.limiter.relay
+                await until(lambda: any(c._receiving is not None for c in relay.connections))
+                client.send(raw[-5000:-1000])
+                time.sleep(HOLD_UP_S)
+                relay.close_stalled()
+                await asyncio.sleep(STALL_S / 2)
+                client.send(raw[-1000:])
+                assert (await client.answer()).code == 200
+                client.close()
+
+    run(test())
