Both fronts: a response is not cut while more of it lies unread

What callers saw: a long response cut off, as if its server had stopped, by a process that had been held up.

Ruled out: back pressure, in which no time counts.

Change: StreamConnection.is_silent looks at the socket, too; both fronts use it in place of two copies of the condition.

The timer for the rest of a short response has the same form.

--- a/basaltpoint/fronts/http/relay.py
+++ b/basaltpoint/fronts/http/relay.py
@@ -363,12 +363,7 @@
                 connection.close()
         for exchange in list(self._exchanges.values()):
             stream = exchange.stream
-            if (
-                stream
-                and exchange.response_started
-                and not stream.is_paused
-                and now - stream.last_received_at > clients.stall_s
-            ):
+            if stream and exchange.response_started and stream.is_silent(now - clients.stall_s):
                 log.warning("a server stopped sending in the middle of its response")
                 stream.reset()
 
--- a/basaltpoint/fronts/platform/limiter.py
+++ b/basaltpoint/fronts/platform/limiter.py
@@ -311,13 +311,7 @@
         now = monotonic()
         for exchange in list(self._exchanges.values()):
             stream = exchange.stream
-            silent = (
-                exchange.response_started
-                and stream
-                and not stream.is_paused
-                and now - stream.last_received_at > SERVER_TIMEOUT_S
-            )
-            if stream and silent:
+            if stream and exchange.response_started and stream.is_silent(now - SERVER_TIMEOUT_S):
                 log.warning("a server has stopped in the middle of a response")
                 stream.reset()
             elif stream and (stall := exchange.upload_stall(now, SERVER_TIMEOUT_S)):
--- a/basaltpoint/upstream/servers.py
+++ b/basaltpoint/upstream/servers.py
@@ -156,6 +156,13 @@
         """Writes the attempt's message and waits for the response."""
         raise NotImplementedError
 
+    def has_unread_data(self) -> bool:
+        """Whether the server has sent something that this process has not read yet."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def is_usable(self) -> bool:
         """Whether the server has not closed the connection, as far as the kernel knows."""
         assert self._transport
--- a/basaltpoint/upstream/streams.py
+++ b/basaltpoint/upstream/streams.py
@@ -182,6 +182,10 @@
             else:
                 self._transport.resume_reading()
 
+    def is_silent(self, limit: float) -> bool:
+        """Whether the server has sent nothing since `limit`, read or unread, while reading was not paused."""
+        return not self._paused and self.last_received_at < limit and not self.has_unread_data()
+
     @property
     def is_paused(self) -> bool:
         return self._paused
--- a/tests/test_held_up_process.py
+++ b/tests/test_held_up_process.py
@@ -7,10 +7,12 @@
 from pathlib import Path
 
 import pytest
-from sockets import Request, backend, echo, message, run, until
+from sockets import Request, backend, echo, host, limiter, message, run, until
 from standalone import config, request, standalone
 from test_slow_readers import limiter_process
 
+from basaltpoint.fronts.platform import limiter as limiting
+
 STALL_S = 0.5
 HOLD_UP_S = 2 * STALL_S
 # Before a sweep the process stands still, if the file exists; it removes the file first.
@@ -77,3 +79,30 @@
                 client.close()
 
     run(test())
+
+
+@pytest.mark.parametrize("has_more", [True, False], ids=["more has come", "the server has stopped"])
+def test_a_long_response_is_cut_only_if_nothing_has_come(
+    monkeypatch: pytest.MonkeyPatch, has_more: bool
+) -> None:
+    """Guards against a long response being cut for a pause that was the limiter's own."""
+    monkeypatch.setattr(limiting, "SERVER_TIMEOUT_S", STALL_S)
+    size = 200_000
+
+    async def script(received: Request) -> None:
+        received.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * (size - 1000))
+
+    async def test() -> None:
+        async with backend(script) as server, limiter(host("a", server.address)) as rig:
+            client = await rig.connect()
+            client.send(message("fix", "one"))
+            await client.reader.readuntil(b"\r\n\r\n")
+            await client.reader.readexactly(size - 1000)
+            if has_more:
+                server.requests[0].writer.write(b"x" * 1000)
+            time.sleep(HOLD_UP_S)
+            rig.limiter.sweep()
+            rest = await client.reader.read(1000)
+            assert len(rest) == (1000 if has_more else 0)
+
+    run(test())
