Platform: open requests are claimed also where the handover has no path

Need: with a folder whose path is too long for a local socket there is no handover, but two processes may serve all the same, and a claim needs no socket.

Ruled out: a shorter path of its own (the folder is the platform's). Change: the file of claims has its own name in the folder, and is opened whether or not a successor can connect.

--- a/basaltpoint/daemon/platform.py
+++ b/basaltpoint/daemon/platform.py
@@ -117,13 +117,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     own_listener = None if inherited_listener else await open_listener_when_free(config.listen, BACKLOG)
-    path = socket_path(os.environ.get("TMPDIR"), config.name) if inherited_listener else None
+    folder = os.environ.get("TMPDIR") if inherited_listener else None  # of files that processes share
+    path = socket_path(folder, config.name)
     connected = connect_to_predecessor(path) if path else None
     grace_s = config.settings.drain_grace_ms / 1000
     confirm_within_s = config.settings.discovery_confirm_ms / 1000 if config.settings.must_subscribe else None
     lease = MembershipLease(time.monotonic(), grace_s, confirm_within_s)
     log.info("server lists are %s", "pushed" if confirm_within_s is None else "requested")
-    claims = open_claims(path) if path else None
+    claims = open_claims(folder, config.name)
     limiter = Limiter(config, read_predecessor_state(connected[1]) if connected else None, lease, claims)
     max_connections = int((config.sockets - RESERVED_DESCRIPTORS) * (1 - SERVER_SOCKET_FRACTION))
     clients = ClientConnections(
--- a/basaltpoint/daemon/platform_upgrade.py
+++ b/basaltpoint/daemon/platform_upgrade.py
@@ -10,18 +10,20 @@
 from basaltpoint.fronts.platform.clients import ClientConnections
 from basaltpoint.fronts.platform.limiter import Limiter
 from basaltpoint.handover import platform_state, state
-from basaltpoint.handover.id_claims import RequestIdClaims, claims_path
-from basaltpoint.handover.link import HandoverLink, SuccessorHandler, SuccessorListener
+from basaltpoint.handover.id_claims import RequestIdClaims
+from basaltpoint.handover.link import HandoverLink, SuccessorHandler, SuccessorListener, shared_path
 
 log = logging.getLogger(__name__)
 
 FLUSH_TIMEOUT_S = 0.3  # for queued data to reach the successor once everything else is done
 
 
-def open_claims(handover_path: str) -> RequestIdClaims | None:
-    """Opens the file of claimed Req-Ids; logs the reason and returns None if that is impossible."""
+def open_claims(folder: str | None, name: str) -> RequestIdClaims | None:
+    """Opens the file of claimed Req-Ids; None without a folder, or, with the reason logged, if it can't."""
+    if not folder:
+        return None
     try:
-        return RequestIdClaims(claims_path(handover_path))
+        return RequestIdClaims(shared_path(folder, name, "ids"))
     except OSError as error:
         log.error("open requests can't be shared with another process: %s", error)
         return None
--- a/basaltpoint/handover/id_claims.py
+++ b/basaltpoint/handover/id_claims.py
@@ -72,8 +72,3 @@
 def _offset(req_id: bytes) -> int:
     digest = hashlib.blake2b(req_id, digest_size=8).digest()
     return int.from_bytes(digest, "big") >> (64 - _OFFSET_BITS)
-
-
-def claims_path(handover_path: str) -> str:
-    """Returns the path of the file, beside the local socket at which a successor connects."""
-    return f"{handover_path}.ids"
--- a/basaltpoint/handover/link.py
+++ b/basaltpoint/handover/link.py
@@ -32,14 +32,19 @@
     """The path at which a limiter of that name is reached by its successor; None if there can be none."""
     if not folder:
         return None
-    safe_name = "".join(c if c.isalnum() or c in "-_." else "_" for c in name)
-    path = os.path.join(folder, f"basaltpoint.{safe_name}.handover")
+    path = shared_path(folder, name, "handover")
     if len(os.fsencode(path)) > MAX_PATH_BYTES:
         log.warning("no handover: the path %s is too long for a local socket", path)
         return None
     return path
 
 
+def shared_path(folder: str, name: str, suffix: str) -> str:
+    """Returns the path of a file that the processes of a limiter of that name share."""
+    safe_name = "".join(c if c.isalnum() or c in "-_." else "_" for c in name)
+    return os.path.join(folder, f"basaltpoint.{safe_name}.{suffix}")
+
+
 def connect_to_predecessor(path: str) -> tuple[socket.socket, bytes] | None:
     """Connects to the predecessor and reads its document; returns both, or None if no process answers."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
--- a/tests/test_open_ids.py
+++ b/tests/test_open_ids.py
@@ -16,6 +16,7 @@
 from test_handover import Platform, Process, platform
 
 from basaltpoint.handover.id_claims import RequestIdClaims
+from basaltpoint.handover.link import MAX_PATH_BYTES
 from basaltpoint.handover.platform_state import PlatformState
 
 
@@ -256,3 +257,20 @@
     claims.is_shared = True
     assert not claims.claim(b"shared")
     assert list(claims.metric_lines()) == ["gw_open_elsewhere 1"]
+
+
+def test_processes_without_a_path_for_the_handover_know_each_others_open_ids() -> None:
+    """Guards against a second run where the folder's path is too long for a local socket."""
+
+    async def test() -> None:
+        async with backend() as server, platform(server) as platform_:
+            platform_.path /= "x" * MAX_PATH_BYTES
+            platform_.path.mkdir()
+            first, second = await platform_.start(), await platform_.start()
+            client = await connect_to(platform_, first)
+            await hold(client, server, "held")
+            assert (await (await connect_to(platform_, second)).ask(message("fix", "held"))).code == 409
+            assert "no handover: the path" in second.log.read_text()
+            assert len(server.requests) == 1
+
+    run(test())
