Tests: stand-ins of the connection's owner and transport have the members now needed

No check is changed.

Ruled out: the product (the error is an AttributeError of the stand-ins alone).

--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -42,6 +42,10 @@
         return ("127.0.0.1", 1) if name == "peername" else None
 
     def set_write_buffer_limits(self, high: int) -> None: ...
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def pause_reading(self) -> None: ...
     def resume_reading(self) -> None: ...
     def can_write_eof(self) -> bool:
@@ -73,6 +77,7 @@
     max_head_bytes = 4096
     buffer_bytes = 65536
     is_closing = False
+    write_timeout_s = 30.0
 
     def __init__(self) -> None:
         self.received: list[Any] = []
