Tests of upgrades: no client waits for longer than the limits while a process starts

Two were the tests' own: 30 clients had connected before a new process was started, which took longer there than the 2.7 s for a first request, so that they got 408; and the upload of test_an_upload_during_the_ upgrade_is_finished_by_the_predecessor paused within its body for as long as the start took, over 2 s.

Change: the clients have had an answer before, heads are begun once the new process is up, and the upload goes on in pieces during the start.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -490,6 +490,8 @@
             old = await platform_.start()
             await asyncio.sleep(depth / rate)  # a ceiling is empty at the start of a limiter
             begun = [(await platform_.connect(), message("fix", f"old-{n}")) for n in range(count)]
+            for client, _ in begun:  # the time for the first request is over
+                assert (await client.ask(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")).code == 200
             new = await platform_.start()
             for client, raw in begun:
                 client.send(raw[:1])  # the connection stays where it is
@@ -604,10 +606,16 @@
             client = await platform_.connect()
             client.send(message("upload", "long", Content_Length="300000") + b"x" * 100_000)
             await until(lambda: server.connections == 1)
-            await platform_.start()
+            starting = asyncio.create_task(platform_.start())
+            sent = 100_000
+            while not starting.done():  # a client may not pause for 2 s, however long the start takes
+                client.send(b"x" * 1000)
+                sent += 1000
+                await asyncio.sleep(0.1)
+            await starting
             ending = asyncio.create_task(old.end())
             await asyncio.sleep(0.05)
-            client.send(b"x" * 200_000)
+            client.send(b"x" * (300_000 - sent))
             request = await server.arrived.get()
             assert len(request.body) == 300_000
             request.reply(body=b"done")
--- a/tests/test_open_ids.py
+++ b/tests/test_open_ids.py
@@ -58,12 +58,6 @@
         return (await self.client.answer()).code
 
 
-async def begin(platform_: Platform, ident: str) -> BegunRequest:
-    request = BegunRequest(await platform_.connect(), ident)
-    await asyncio.sleep(0.1)  # until the process that serves now has read it
-    return request
-
-
 async def hold(client: Client, server: Backend, ident: str) -> None:
     """Sends a request; returns once the server has it."""
     client.send(message("fix", ident))
@@ -76,8 +70,8 @@
     async def test() -> None:
         async with backend() as server, platform(server) as platform_:
             old = await platform_.start()
-            begun = await begin(platform_, "held")
             new = await platform_.start()
+            begun = BegunRequest(await connect_to(platform_, old), "held")
             ending = asyncio.create_task(old.end())
             await until(lambda: "took over" in new.log.read_text())
             client = await platform_.connect()
@@ -98,8 +92,8 @@
     async def test() -> None:
         async with backend() as server, platform(server) as platform_:
             old = await platform_.start()
-            begun = await begin(platform_, "held")
             new = await platform_.start()
+            begun = BegunRequest(await connect_to(platform_, old), "held")
             ending = asyncio.create_task(old.end())
             await until(lambda: "took over" in new.log.read_text())
             finishing = asyncio.create_task(begun.finish())
@@ -217,8 +211,8 @@
             old = await platform_.start()
             client = await platform_.connect()
             await hold(client, server, "held")
-            begun = await begin(platform_, "held")
             new = await platform_.start()
+            begun = BegunRequest(await connect_to(platform_, old), "held")
             ending = asyncio.create_task(old.end())
             await until(lambda: "took over" in new.log.read_text())
             assert await begun.finish() == 409  # by the process that has the request itself
