Review cases: a closed output no longer keeps a case from ending its processes

Cause: a write to an output that nobody reads raised an error after the case, before its processes were ended.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -71,7 +71,7 @@
         time.sleep(0.05)
     for thread in threads:
         thread.join()
-    print(f"{counts}")
+    case.say(f"{counts}")
     if not counts["taken"]:
         raise rig.CannotRunError("no request was taken")
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -76,7 +76,7 @@
         thread.start()
     for thread in threads:
         thread.join()
-    print(f"{counts}, {len(case.broken)} ran with another body")
+    case.say(f"{counts}, {len(case.broken)} ran with another body")
 
 
 rig.run_case(__file__, play)
--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -55,6 +55,11 @@
         with self._lock, open(self._record_path, "a") as file:
             file.write(f"{time.monotonic() - self.started_s:9.4f} {text}\n")
 
+    def say(self, text: str) -> None:
+        """Prints a line, if anybody reads the output."""
+        with contextlib.suppress(OSError):
+            print(text, flush=True)
+
     def breaks(self, text: str) -> None:
         """Notes that the rule was broken."""
         self.broken.append(text)
@@ -92,7 +97,8 @@
                 self.record(f"{log.name}: {line}")
         self.record(f"exit code {code}, trouble {int(self.trouble)}")
         shutil.rmtree(self.tmp, ignore_errors=True)
-        sys.stdout.flush()
+        with contextlib.suppress(OSError):
+            sys.stdout.flush()
         os._exit(code)
 
 
@@ -101,7 +107,7 @@
     case = Case(file)
 
     def out_of_time() -> None:
-        print("the case did not end in time")
+        case.say("the case did not end in time")
         case.record("out of time")
         case.finish(2)
 
@@ -116,12 +122,12 @@
     try:
         play(case)
     except Exception as error:  # whatever it is, the case has not judged the rule
-        print(f"can't run: {error!r}")
+        case.say(f"can't run: {error!r}")
         case.record(f"can't run: {error!r}")
         case.finish(2)
     for text in case.broken[:10]:
-        print(f"broken: {text}")
-    print("the rule was broken" if case.broken else "the rule held")
+        case.say(f"broken: {text}")
+    case.say("the rule was broken" if case.broken else "the rule held")
     case.finish(1 if case.broken else 0)
 
 
