--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -21,7 +21,11 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 PLATFORM_PYTHON = ROOT / ".venv" / "bin" / "python"  # made by `build` of deploy/balancer.toml
-STANDALONE_PYTHONS = (ROOT / "review" / "rig_2" / ".venv" / "bin" / "python", PLATFORM_PYTHON)
+# Made by review/build-2.sh; the environment of the tests has the same libraries.
+STANDALONE_PYTHONS = (
+    ROOT / "review" / "rig_2" / ".venv" / "bin" / "python",
+    ROOT / ".venv-dev" / "bin" / "python",
+)
 STANDALONE_LIBRARIES = "import msgspec, re2, sortedcontainers, uvloop, httptools"
 LIMIT_S = 110.0  # a case ends itself after this time
 KEY = "key-of-the-review"
